--- /dev/null
+++ b/citronpaddle/adapters/eventlog.py
@@ -0,0 +1,128 @@
+"""Structured log lines on standard output: bounded in number and memory, never blocking."""
+
+import json
+import os
+from collections import Counter
+from enum import StrEnum
+from typing import Any
+
+from logbook import Handler, Logger, LogRecord
+
+from ..clock import Clock
+
+# Lines of one second beyond this are counted and reported instead of written.
+MAX_LINES_PER_S = 300
+# A reader that is stuck costs this much memory, then lines.
+MAX_BUFFER_BYTES = 65_536
+
+
+class Event(StrEnum):
+    """Every kind of line."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    SETTINGS_RELOADED = "settings_reloaded"
+    SETTINGS_REFUSED = "settings_refused"
+    STORE_LOST = "store_lost"
+    STORE_REGAINED = "store_regained"
+    HISTORY_LOST = "history_lost"
+    LEASE_GRANTED = "lease_granted"
+    LEASE_LOST = "lease_lost"
+    CONFIGURATION_TAKEN = "configuration_taken"
+    CONFIGURATION_REFUSED = "configuration_refused"
+    UPSTREAM_LISTED = "upstream_listed"
+    UPSTREAM_GONE = "upstream_gone"
+    UPSTREAM_REFUSED = "upstream_refused"
+    DOMAINS_OUT = "domains_out"
+    INSTANCES_CHANGED = "instances_changed"
+    REQUEST_ENDED = "request_ended"
+    REQUEST_DENIED = "request_denied"
+    CALLER_LEFT = "caller_left"
+    CALL_FAILED = "call_failed"
+    INTERNAL_ERROR = "internal_error"
+    LINES_SUPPRESSED = "lines_suppressed"
+
+
+class BoundedHandler(Handler):
+    """Writes records to a file descriptor without blocking; `dropped` counts lost lines."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._buffer = bytearray()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: LogRecord) -> None:
+        line = record.message.encode() + b"\n"
+        if len(self._buffer) + len(line) > MAX_BUFFER_BYTES:
+            self.dropped += 1
+            return
+        self._buffer += line
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes; the rest waits."""
+        while self._buffer:
+            try:
+                written = os.write(self._descriptor, self._buffer)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more: the lines are lost, and counted as such.
+                self.dropped += self._buffer.count(b"\n")
+                self._buffer.clear()
+                return
+            del self._buffer[:written]
+
+
+class EventLog:
+    """Writes one JSON object per event; request ids and fields are the caller's."""
+
+    def __init__(self, instance: str, clock: Clock, descriptor: int = 1) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._handler = BoundedHandler(descriptor)
+        self._logger = Logger("citronpaddle")
+        self._logger.handlers.append(self._handler)
+        self._second = 0
+        self._lines = 0
+        self._suppressed: Counter[str] = Counter()
+
+    def write(self, event: Event, part: str, **fields: Any) -> None:
+        """Write a line, unless this second has had its share of lines."""
+        now_ms = self._clock.now_ms()
+        second = int(now_ms / 1_000)
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+            self._report()
+        self._lines += 1
+        if self._lines > MAX_LINES_PER_S:
+            self._suppressed[event.value] += 1
+            return
+        self._emit(event, part, fields)
+
+    def flush(self) -> None:
+        """Write what waits for the reader."""
+        self._handler.flush()
+
+    def _report(self) -> None:
+        if self._handler.dropped:
+            self._suppressed["dropped"] += self._handler.dropped
+            self._handler.dropped = 0
+        if self._suppressed:
+            counts = dict(self._suppressed)
+            self._suppressed.clear()
+            self._emit(Event.LINES_SUPPRESSED, "log", {"counts": counts})
+
+    def _emit(self, event: Event, part: str, fields: dict[str, Any]) -> None:
+        line = {
+            "time_ms": self._clock.wall_ms(),
+            "instance": self._instance,
+            "part": part,
+            "event": event.value,
+            **fields,
+        }
+        self._logger.info(json.dumps(line, separators=(",", ":"), default=str))
--- /dev/null
+++ b/citronpaddle/adapters/httpserver.py
@@ -0,0 +1,297 @@
+"""HTTP/1.1 from callers: whole requests in, whole answers out, one at a time on a connection.
+
+The httptools parser runs on asyncio protocols here, since the rules ask what uvicorn does not tell:
+that a caller has left, at once, and whether a request was read when a connection is closed.
+"""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from typing import NamedTuple
+
+import httptools
+
+from ..clock import Clock
+from ..policy.catalog import CallerLimits
+from .httpclient import set_keep_alive
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Header fields that concern one connection only, and those that are set anew for each.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+class HttpRequest(NamedTuple):
+    """A complete request; `target` is as the caller sent it."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    received_ms: float
+
+
+class HttpAnswer(NamedTuple):
+    """An answer; `headers` come without those of the connection and the length."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+
+
+class Service(ABC):
+    """What serves requests; every request gets one `answer` on its connection or is left."""
+
+    @abstractmethod
+    def get_limits(self) -> CallerLimits:
+        """Return the limits of requests in force."""
+
+    @abstractmethod
+    def handle(self, request: HttpRequest, connection: "CallerConnection") -> None:
+        """Take a request; call `connection.answer` once, now or later."""
+
+    @abstractmethod
+    def leave(self, connection: "CallerConnection") -> None:
+        """Take note that the caller of the request in progress has left."""
+
+
+def list_end_to_end(
+    headers: tuple[tuple[bytes, bytes], ...], drop: frozenset[bytes] = frozenset()
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers without those that concern one connection, and without `drop`."""
+    named = {
+        name.strip()
+        for header, value in headers
+        if header.lower() == b"connection"
+        for name in value.lower().split(b",")
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if (lowered := name.lower()) not in HOP_BY_HOP
+        and lowered not in named
+        and lowered not in drop
+    ]
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, service: Service, clock: Clock, connections: "Connections") -> None:
+        self._service = service
+        self._clock = clock
+        self._connections = connections
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[tuple[HttpRequest, bool]] = deque()
+        self._keeps_alive = True
+        self._has_closed = False
+        self._reading_since_ms: float | None = None
+        self._idle_since_ms = clock.now_ms()
+        self._header_bytes = 0
+        self._are_headers_complete = True
+        self.is_busy = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        set_keep_alive(transport)
+        self._connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._has_closed = True
+        self._connections.discard(self)
+        self._waiting.clear()
+        if self.is_busy:
+            self.is_busy = False
+            self._service.leave(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._has_closed:
+            return
+        if self._reading_since_ms is None and not self.is_busy:
+            self._reading_since_ms = self._clock.now_ms()
+        if not self._are_headers_complete or self._reading_since_ms is not None:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(400)
+            return
+        limits = self._service.get_limits()
+        if not self._are_headers_complete and self._header_bytes > limits.max_header_bytes:
+            self._reject(431)
+        elif self._body_bytes > limits.max_body_bytes:
+            self._reject(413)
+
+    def on_message_begin(self) -> None:
+        self._clear()
+        self._are_headers_complete = False
+        if self._reading_since_ms is None:
+            self._reading_since_ms = self._clock.now_ms()
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+        if name.lower() == b"expect" and value.lower() == b"100-continue" and not self.is_busy:
+            self._transport.write(_CONTINUE)
+
+    def on_headers_complete(self) -> None:
+        self._are_headers_complete = True
+        self._header_bytes = 0
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes <= self._service.get_limits().max_body_bytes:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._reading_since_ms = None
+        request = HttpRequest(
+            self._parser.get_method(),
+            self._target,
+            tuple(self._headers),
+            b"".join(self._body),
+            self._clock.now_ms(),
+        )
+        if self._body_bytes > self._service.get_limits().max_body_bytes:
+            return
+        self._waiting.append((request, self._parser.should_keep_alive()))
+        self._take_next()
+        if self._waiting and not self._has_closed:
+            self._transport.pause_reading()
+
+    def _take_next(self) -> None:
+        if self.is_busy or self._has_closed or not self._waiting:
+            return
+        request, self._keeps_alive = self._waiting.popleft()
+        self.is_busy = True
+        self._service.handle(request, self)
+
+    def answer(self, answer: HttpAnswer) -> None:
+        """Send the answer to the request in progress; the connection then takes the next one."""
+        if not self.is_busy or self._has_closed:
+            return
+        self.is_busy = False
+        self._idle_since_ms = self._clock.now_ms()
+        closes = not self._keeps_alive or self._connections.is_closing
+        self._transport.write(_format_answer(answer, closes))
+        if closes:
+            self._close()
+            return
+        if self._waiting:
+            asyncio.get_running_loop().call_soon(self._resume)
+
+    def _resume(self) -> None:
+        self._take_next()
+        if not self._waiting and not self._has_closed:
+            self._transport.resume_reading()
+
+    def check_times(self, now_ms: float) -> None:
+        """Close the connection if its header or its next request is overdue."""
+        limits = self._service.get_limits()
+        if self.is_busy or self._has_closed:
+            return
+        if self._reading_since_ms is not None:
+            if now_ms - self._reading_since_ms > limits.header_timeout_ms:
+                if not self._are_headers_complete:
+                    self._reject(408)
+        elif now_ms - self._idle_since_ms > limits.idle_timeout_ms:
+            self._close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is in progress or being read."""
+        if not self.is_busy and self._reading_since_ms is None:
+            self._close()
+
+    def _reject(self, status: int) -> None:
+        if self.is_busy:
+            # The request in progress still gets its answer, which then ends the connection.
+            self._keeps_alive = False
+            self._transport.pause_reading()
+            return
+        self._transport.write(_format_answer(HttpAnswer(status), True))
+        self._close()
+
+    def _close(self) -> None:
+        if not self._has_closed:
+            self._has_closed = True
+            self._transport.close()
+
+
+class Connections:
+    """The open connections of callers; once `is_closing`, every answer ends its connection."""
+
+    def __init__(self) -> None:
+        self.is_closing = False
+        self._open: set[CallerConnection] = set()
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def add(self, connection: CallerConnection) -> None:
+        """Take note of a new connection."""
+        self._open.add(connection)
+
+    def discard(self, connection: CallerConnection) -> None:
+        """Forget a connection that is over."""
+        self._open.discard(connection)
+
+    def count_busy(self) -> int:
+        """Return how many requests are in progress."""
+        return sum(1 for connection in self._open if connection.is_busy)
+
+    def check_times(self, now_ms: float) -> None:
+        """Close connections that are overdue."""
+        for connection in list(self._open):
+            connection.check_times(now_ms)
+
+    def close_idle(self) -> None:
+        """Close the connections without a request in progress."""
+        for connection in list(self._open):
+            connection.close_if_idle()
+
+
+def _format_answer(answer: HttpAnswer, closes: bool) -> bytes:
+    reason = _REASONS.get(answer.status, b"Status")
+    lines = [b"HTTP/1.1 %d %s\r\n" % (answer.status, reason)]
+    lines += [b"%s: %s\r\n" % header for header in answer.headers]
+    if answer.status not in (204, 304) and answer.status >= 200:
+        lines.append(b"Content-Length: %d\r\n" % len(answer.body))
+    if closes:
+        lines.append(b"Connection: close\r\n")
+    lines.append(b"\r\n")
+    lines.append(answer.body)
+    return b"".join(lines)
--- /dev/null
+++ b/citronpaddle/fleet.py
@@ -0,0 +1,347 @@
+"""Keeps up with the state that all instances share in the platform's store.
+
+One watch covers the configuration, failure domains that are out, upstreams and instances. While the
+store is away, what was last known stays in force.
+"""
+
+import asyncio
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .adapters.eventlog import Event, EventLog
+from .clock import Clock
+from .policy.catalog import Catalog
+from .policy.members import Member, Members
+from .policy.registry import Registry, Upstream
+from .policy.selection import Selector
+from .statestore import (
+    HistoryLost,
+    Lease,
+    LeaseEnded,
+    StateStore,
+    StoreFailure,
+    StoreItem,
+    StoreView,
+)
+
+MEMBER_PREFIX = "citronpaddle/instances/"
+# One watch call may wait this long; the store's limit is 30 s.
+WATCH_WAIT_MS = 25_000
+# Every watch call has its price: changes that follow each other closely share one. The closest
+# bounds, 3 s for a configuration or a leaving upstream, leave room for this delay.
+WATCH_INTERVAL_MS = 900.0
+FIRST_RETRY_MS = 150.0
+MAX_RETRY_MS = 1_000.0
+# An instance that is gone is missed after this time at most, and a renewal costs little.
+LEASE_MS = 4_000.0
+RENEW_SHARE = 0.4
+# Pauses of all instances after a failure differ by this share, so that they don't call at once.
+RETRY_SPREAD = 0.5
+
+
+class StateDecoder(ABC):
+    """Decodes the platform's documents; a document that can't be read gives a reason instead."""
+
+    @abstractmethod
+    def is_catalog(self, key: str) -> bool:
+        """Return whether the key holds the configuration."""
+
+    @abstractmethod
+    def find_out_domain(self, key: str) -> str | None:
+        """Return the failure domain that an existing key takes out, or None."""
+
+    @abstractmethod
+    def find_upstream_id(self, key: str) -> str | None:
+        """Return the id of the upstream whose entry the key holds, or None."""
+
+    @abstractmethod
+    def decode_catalog(self, value: bytes) -> Catalog | str:
+        """Return the configuration, or why it can't be read."""
+
+    @abstractmethod
+    def decode_upstream(self, upstream_id: str, value: bytes, now_ms: float) -> Upstream | str:
+        """Return the upstream, or why the entry names none."""
+
+
+@dataclass(slots=True)
+class FleetState:
+    """What this instance knows; `catalog` is None until the first configuration."""
+
+    registry: Registry
+    members: Members
+    catalog: Catalog | None = None
+    revision: int = 0
+    heard_ms: float = 0.0
+
+
+class Fleet:
+    """Follows the store and keeps this instance's own entry there."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        store: StateStore,
+        decoder: StateDecoder,
+        state: FleetState,
+        selector: Selector,
+        log: EventLog,
+        draw: Callable[[], float],
+        on_change: Callable[[], None],
+        min_lease_ms: float,
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._decoder = decoder
+        self._state = state
+        self._selector = selector
+        self._log = log
+        self._draw = draw
+        self._on_change = on_change
+        self._lease_ms = max(LEASE_MS, min_lease_ms)
+        self._lease: Lease | None = None
+        self._is_leaving = False
+        self._revisions: dict[str, int] = {}
+        self._out_domains: dict[str, str] = {}
+        self._lost_since_ms: float | None = None
+        self._entry_lost = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start following the store."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._follow()), loop.create_task(self._register())]
+
+    async def leave(self) -> None:
+        """Take this instance out of the list of instances; the store is asked once."""
+        self._is_leaving = True
+        self._entry_lost.set()
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            await self._store.end_lease(lease)
+
+    async def stop(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def tick(self) -> None:
+        """Drop entries whose time of grace is over."""
+        now_ms = self._clock.now_ms()
+        for upstream_id in self._state.registry.expire(now_ms):
+            self._note_gone(upstream_id, "missing after the store's return")
+        self._state.members.expire(now_ms)
+
+    async def _follow(self) -> None:
+        retry_ms = FIRST_RETRY_MS
+        while True:
+            view = await self._store.read_all("")
+            if isinstance(view, StoreFailure):
+                retry_ms = await self._pause(view, retry_ms)
+                continue
+            self._note_answer()
+            self._take_view(view)
+            retry_ms = FIRST_RETRY_MS
+            await self._watch(view.revision)
+
+    async def _watch(self, after: int) -> None:
+        """Follow changes until the store has forgotten some."""
+        retry_ms = FIRST_RETRY_MS
+        while True:
+            called_ms = self._clock.now_ms()
+            changes = await self._store.watch("", after, WATCH_WAIT_MS)
+            if isinstance(changes, HistoryLost):
+                self._log.write(Event.HISTORY_LOST, "fleet", after_revision=after)
+                return
+            if isinstance(changes, StoreFailure):
+                retry_ms = await self._pause(changes, retry_ms)
+                continue
+            self._note_answer()
+            retry_ms = FIRST_RETRY_MS
+            for item in changes.items:
+                self._take(item)
+            after = max(after, changes.revision)
+            self._state.revision = after
+            if changes.items:
+                self._on_change()
+            left_ms = WATCH_INTERVAL_MS - (self._clock.now_ms() - called_ms)
+            if left_ms > 0:
+                await asyncio.sleep(left_ms / 1_000)
+
+    async def _pause(self, failure: StoreFailure, retry_ms: float) -> float:
+        """Wait before the next call; return how long to wait after a further failure."""
+        self._note_lost(failure)
+        spread = 1.0 + RETRY_SPREAD * self._draw()
+        await asyncio.sleep(retry_ms * spread / 1_000)
+        return min(MAX_RETRY_MS, 2 * retry_ms)
+
+    def _note_lost(self, failure: StoreFailure) -> None:
+        if self._lost_since_ms is None:
+            self._lost_since_ms = self._clock.now_ms()
+            self._log.write(Event.STORE_LOST, "fleet", reason=failure.reason)
+
+    def _note_answer(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._state.heard_ms = now_ms
+        if self._lost_since_ms is not None:
+            lost_ms = now_ms - self._lost_since_ms
+            self._lost_since_ms = None
+            self._state.registry.note_store_return(now_ms)
+            self._state.members.note_store_return(now_ms)
+            self._log.write(Event.STORE_REGAINED, "fleet", lost_ms=round(lost_ms))
+
+    def _take_view(self, view: StoreView) -> None:
+        """Take over everything at once; what is not in the view is gone."""
+        present = {item.key for item in view.items}
+        for key in list(self._revisions):
+            if key not in present:
+                self._take(StoreItem(key, None, view.revision))
+        for item in view.items:
+            self._take(item)
+        self._state.revision = view.revision
+        self._on_change()
+
+    def _take(self, item: StoreItem) -> None:
+        """Take over one change, unless a newer one of its key is known."""
+        if item.revision < self._revisions.get(item.key, 0):
+            return
+        if item.value is None:
+            self._revisions.pop(item.key, None)
+        else:
+            self._revisions[item.key] = item.revision
+        upstream_id = self._decoder.find_upstream_id(item.key)
+        out_domain = self._decoder.find_out_domain(item.key)
+        if upstream_id is not None:
+            self._take_upstream(upstream_id, item.value)
+        elif out_domain is not None:
+            self._take_out_domain(item.key, out_domain, item.value is not None)
+        elif self._decoder.is_catalog(item.key):
+            self._take_catalog(item.value, item.revision)
+        elif item.key.startswith(MEMBER_PREFIX):
+            self._take_member(item.key[len(MEMBER_PREFIX) :], item.value)
+
+    def _take_upstream(self, upstream_id: str, value: bytes | None) -> None:
+        now_ms = self._clock.now_ms()
+        registry = self._state.registry
+        if value is None:
+            if registry.remove(upstream_id, now_ms):
+                self._note_gone(upstream_id, "entry removed")
+            return
+        found = self._decoder.decode_upstream(upstream_id, value, now_ms)
+        if isinstance(found, str):
+            registry.void(upstream_id)
+            self._log.write(Event.UPSTREAM_REFUSED, "fleet", upstream=upstream_id, reason=found)
+            return
+        held = registry.get(upstream_id)
+        if held is not None and held.born_ms != found.born_ms:
+            self._selector.forget(upstream_id)
+        if registry.put(found):
+            self._log.write(
+                Event.UPSTREAM_LISTED,
+                "fleet",
+                upstream=upstream_id,
+                service=found.service,
+                domain=found.domain,
+                leaving=found.is_leaving,
+                cold_ms=round(found.cold_until_ms - now_ms),
+            )
+
+    def _note_gone(self, upstream_id: str, reason: str) -> None:
+        self._selector.forget(upstream_id)
+        self._log.write(Event.UPSTREAM_GONE, "fleet", upstream=upstream_id, reason=reason)
+
+    def _take_out_domain(self, key: str, domain: str, is_out: bool) -> None:
+        if is_out:
+            self._out_domains[key] = domain
+        else:
+            self._out_domains.pop(key, None)
+        registry = self._state.registry
+        for returned in registry.set_out_domains(frozenset(self._out_domains.values())):
+            # Without load for a while, its upstreams may be cold, which their entries may not say.
+            registry.mark_cold(returned, self._clock.now_ms() + self._find_cold_ms())
+        self._log.write(Event.DOMAINS_OUT, "fleet", domains=sorted(registry.out_domains))
+
+    def _find_cold_ms(self) -> float:
+        catalog = self._state.catalog
+        services = catalog.services.values() if catalog else ()
+        return max((service.cold_ms for service in services), default=0.0)
+
+    def _take_catalog(self, value: bytes | None, revision: int) -> None:
+        if value is None:
+            return
+        found = self._decoder.decode_catalog(value)
+        current = self._state.catalog
+        if isinstance(found, str):
+            self._log.write(
+                Event.CONFIGURATION_REFUSED, "fleet", reason=found, store_revision=revision
+            )
+        elif current is None or found.version > current.version:
+            self._state.catalog = found
+            self._log.write(
+                Event.CONFIGURATION_TAKEN,
+                "fleet",
+                version=found.version,
+                previous=current.version if current else None,
+                store_revision=revision,
+                routes=len(found.routes),
+            )
+
+    def _take_member(self, name: str, value: bytes | None) -> None:
+        now_ms = self._clock.now_ms()
+        members = self._state.members
+        if value is None:
+            members.remove(name, now_ms)
+            if name == members.own.name and not self._is_leaving:
+                self._lease = None
+                self._entry_lost.set()
+        else:
+            try:
+                entry = json.loads(value)
+                members.put(Member(name, str(entry["address"]), str(entry["domain"])), now_ms)
+            except (ValueError, KeyError, TypeError) as error:
+                self._log.write(Event.INTERNAL_ERROR, "fleet", reason=f"entry of {name}: {error!r}")
+                return
+        self._log.write(
+            Event.INSTANCES_CHANGED, "fleet", name=name, listed=len(members.list_names())
+        )
+
+    async def _register(self) -> None:
+        """Keep this instance in the list of instances."""
+        retry_ms = FIRST_RETRY_MS
+        while not self._is_leaving:
+            failure = await (self._enter() if self._lease is None else self._renew())
+            if failure is not None:
+                retry_ms = await self._pause(failure, retry_ms)
+                continue
+            retry_ms = FIRST_RETRY_MS
+            if self._lease is None:
+                continue
+            self._entry_lost.clear()
+            try:
+                async with asyncio.timeout(self._lease.ttl_ms * RENEW_SHARE / 1_000):
+                    await self._entry_lost.wait()
+            except TimeoutError:
+                continue
+
+    async def _enter(self) -> StoreFailure | None:
+        lease = await self._store.grant_lease(self._lease_ms)
+        if isinstance(lease, StoreFailure):
+            return lease
+        own = self._state.members.own
+        value = json.dumps({"address": own.address, "domain": own.domain}).encode()
+        result = await self._store.put(MEMBER_PREFIX + own.name, value, lease)
+        if isinstance(result, StoreFailure):
+            return result
+        if result is None:
+            self._lease = lease
+            self._log.write(Event.LEASE_GRANTED, "fleet", lease=lease.id, ttl_ms=lease.ttl_ms)
+        return None
+
+    async def _renew(self) -> StoreFailure | None:
+        result = await self._store.renew_lease(self._lease)
+        if isinstance(result, LeaseEnded):
+            self._log.write(Event.LEASE_LOST, "fleet", lease=self._lease and self._lease.id)
+            self._lease = None
+        return result if isinstance(result, StoreFailure) else None
--- /dev/null
+++ b/citronpaddle/gateway.py
@@ -0,0 +1,433 @@
+"""One entry instance on the users' platform: callers' requests in, answers out."""
+
+import asyncio
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import NamedTuple
+
+from .adapters.connections import Address, ConnectionPool
+from .adapters.eventlog import Event, EventLog
+from .adapters.httpserver import (
+    CallerConnection,
+    Connections,
+    HttpAnswer,
+    HttpRequest,
+    Service,
+)
+from .clock import Clock
+from .fleet import Fleet, FleetState, StateDecoder
+from .forwarding import CallCodec, Forwarder, RoutedRequest, Run
+from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation
+from .policy.exchange import Answered, Call, CallFailure, Latencies, Outcome, Tools
+from .policy.extraload import ExtraLoad, ExtraLoadLimits
+from .policy.members import Member, Members
+from .policy.registry import Registry
+from .policy.selection import Selector
+from .policy.slowstart import ColdLimits, SlowStart
+from .randomness import RandomSource
+from .statestore import StateStore
+
+# How often overdue connections and entries are looked for.
+TICK_MS = 250.0
+# On a stop, the last part of the time allowed is kept for closing connections and ending.
+STOP_RESERVE_MS = 800.0
+# Callers that keep an older list of addresses go on connecting for a multiple of its time.
+LIST_MEMORY = 1.5
+# Without a configuration, a caller is told to come back after this time.
+RETRY_UNREADY_MS = 500.0
+BACKLOG = 512
+
+
+class GatewaySettings(NamedTuple):
+    """What an instance is told at its start; addresses are None where it does not serve them."""
+
+    name: str
+    domain: str
+    callers_address: Address | None
+    ready_address: Address | None
+    directory_address: Address | None
+    store_address: Address
+    grace_ms: float
+    keep_s: float
+    extra_load: ExtraLoadLimits
+    cold: ColdLimits
+    min_lease_ms: float
+
+
+class Admitted(NamedTuple):
+    """A caller's request, decoded; `deadline_ms` is None if the caller gave none."""
+
+    id: str
+    host: str
+    path: str
+    deadline_ms: float | None
+    content: object
+    is_head: bool
+
+
+class CallerCodec(ABC):
+    """Reads callers' requests and writes their answers, in the platform's words."""
+
+    @abstractmethod
+    def read_request(self, request: HttpRequest) -> Admitted | None:
+        """Return the request, or None if it is malformed."""
+
+    @abstractmethod
+    def make_answer(self, request: RoutedRequest, outcome: Outcome) -> HttpAnswer:
+        """Return the answer for an outcome."""
+
+    @abstractmethod
+    def refuse(self, reason: str, retry_ms: float) -> HttpAnswer:
+        """Return the answer to a request that is not run for now."""
+
+    @abstractmethod
+    def find_resolve_domain(self, request: HttpRequest) -> str | None:
+        """Return the domain of a caller that asks for addresses; None for another request."""
+
+    @abstractmethod
+    def make_addresses(self, addresses: list[str], keep_s: float) -> HttpAnswer:
+        """Return the answer to a caller that asks for addresses."""
+
+
+class Counts:
+    """Counters for the metrics page."""
+
+    def __init__(self) -> None:
+        self.values: dict[tuple[str, str], int] = {}
+
+    def add(self, name: str, label: str, count: int = 1) -> None:
+        """Count under a label of a closed set."""
+        key = (name, label)
+        self.values[key] = self.values.get(key, 0) + count
+
+
+class Gateway:
+    """Everything of one instance."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        random: RandomSource,
+        log: EventLog,
+        call_codec: CallCodec,
+        caller_codec: CallerCodec,
+        make_store: Callable[[Address, ConnectionPool], StateStore],
+        decoder: StateDecoder,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._codec = caller_codec
+        self._is_leaving = False
+        self._rotations: dict[str, WeightedRotation] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._servers: list[asyncio.Server] = []
+        self.counts = Counts()
+        self.connections = Connections()
+        host, port = settings.callers_address or ("", 0)
+        members = Members(Member(settings.name, f"{host}:{port}", settings.domain))
+        self.state = FleetState(Registry(), members)
+        self._slow_start = SlowStart(settings.cold, settings.name)
+        self._selector = Selector(
+            self.state.registry, self._slow_start, self._find_limits, random.random
+        )
+        self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
+        self._pool = ConnectionPool(clock)
+        tools = Tools(self._selector, self._extra_load, Latencies(), itertools.count(1))
+        self._forwarder = Forwarder(clock, call_codec, self._pool, tools, self._note_fault)
+        self._fleet = Fleet(
+            clock,
+            make_store(settings.store_address, ConnectionPool(clock)),
+            decoder,
+            self.state,
+            self._selector,
+            log,
+            random.random,
+            self._apply_change,
+            settings.min_lease_ms,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        return self.state.catalog is not None and not self._is_leaving
+
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits of callers' requests in force."""
+        return self.state.catalog.limits if self.state.catalog else CallerLimits()
+
+    async def start(self) -> None:
+        """Listen and follow the store; raise OSError if an address can't be used."""
+        settings = self._settings
+        for address, service in (
+            (settings.callers_address, RequestService(self)),
+            (settings.ready_address, StatusService(self)),
+            (settings.directory_address, DirectoryService(self)),
+        ):
+            if address is not None:
+                self._servers.append(await self._listen(address, service))
+        self._fleet.start()
+        self._keep_running(self._tick())
+        self._log.write(
+            Event.STARTED, "gateway", domain=settings.domain, callers=settings.callers_address
+        )
+
+    async def stop(self) -> None:
+        """Leave the list, serve until callers have gone elsewhere, then close."""
+        started_ms = self._clock.now_ms()
+        self._is_leaving = True
+        self._log.write(Event.STOPPING, "gateway", busy=self.connections.count_busy())
+        self._keep_running(self._fleet.leave())
+        self.connections.is_closing = True
+        end_ms = started_ms + self._settings.grace_ms - STOP_RESERVE_MS
+        linger_ms = started_ms + min(
+            LIST_MEMORY * 1_000 * self._settings.keep_s, self._settings.grace_ms / 2
+        )
+        while self._clock.now_ms() < end_ms:
+            if self._clock.now_ms() >= linger_ms and not self.connections.count_busy():
+                break
+            await asyncio.sleep(0.05)
+        for server in self._servers:
+            server.close()
+        self.connections.close_idle()
+        while self.connections.count_busy() and self._clock.now_ms() < end_ms:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.05)
+        for task in self._tasks:
+            task.cancel()
+        await self._fleet.stop()
+        self._pool.close()
+        self._log.write(Event.STOPPED, "gateway", took_ms=round(self._clock.now_ms() - started_ms))
+        self._log.flush()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over settings that may change while the instance runs."""
+        self._settings = settings
+        self._extra_load.set_limits(settings.extra_load)
+        self._slow_start.set_limits(settings.cold)
+        self._log.write(Event.SETTINGS_RELOADED, "gateway")
+
+    def serve(self, request: HttpRequest, connection: CallerConnection) -> Run | None:
+        """Answer a caller's request now, or start its exchange."""
+        catalog = self.state.catalog
+        admitted = self._codec.read_request(request)
+        if admitted is None:
+            self._deny(connection, "", HttpAnswer(400, (), b"malformed request"), "malformed")
+            return None
+        if catalog is None:
+            answer = self._codec.refuse("no configuration yet", RETRY_UNREADY_MS)
+            self._deny(connection, admitted.id, answer, "no_configuration")
+            return None
+        route = catalog.find_route(admitted.host, admitted.path)
+        if route is None:
+            self._deny(connection, admitted.id, HttpAnswer(404, (), b"no such route"), "no_route")
+            return None
+        deadline_ms = admitted.deadline_ms or route.timeout_ms
+        routed = RoutedRequest(
+            admitted.id,
+            route,
+            route.shards or (self._choose_service(route),),
+            request.received_ms,
+            request.received_ms + deadline_ms,
+            admitted.content,
+            admitted.is_head,
+        )
+        version = catalog.version
+        run: Run | None = None
+
+        def deliver(outcome: Outcome) -> None:
+            connection.answer(self._codec.make_answer(routed, outcome))
+            self._note_outcome(routed, version, outcome, run)
+
+        run = Run(self._forwarder, routed, deliver)
+        self._forwarder.runs.add(run)
+        run.start()
+        return run
+
+    def resolve(self, request: HttpRequest) -> HttpAnswer:
+        """Answer a caller that asks for addresses."""
+        domain = self._codec.find_resolve_domain(request)
+        if domain is None:
+            return HttpAnswer(404, (), b"not found")
+        addresses = self.state.members.list_addresses(domain, self.is_ready)
+        return self._codec.make_addresses(addresses, self._settings.keep_s)
+
+    def note_left(self, run: Run) -> None:
+        """Take note that the caller of this request has left."""
+        self.counts.add("requests", "caller_left")
+        self._log.write(
+            Event.CALLER_LEFT,
+            "gateway",
+            id=run.request.id,
+            route=run.request.route.name,
+            after_ms=round(self._clock.now_ms() - run.request.received_ms),
+        )
+        run.leave()
+
+    async def _listen(self, address: Address, service: Service) -> asyncio.Server:
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: CallerConnection(service, self._clock, service.connections),
+            *address,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_MS / 1_000)
+            now_ms = self._clock.now_ms()
+            self.connections.check_times(now_ms)
+            self._pool.close_stale()
+            self._fleet.tick()
+            self._share()
+            self._log.flush()
+
+    def _keep_running(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_done)
+
+    def _note_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.write(Event.INTERNAL_ERROR, "gateway", reason=repr(task.exception()))
+
+    def _apply_change(self) -> None:
+        self._share()
+        if self.state.catalog is not None:
+            names = {route.name for route in self.state.catalog.routes}
+            for name in list(self._rotations):
+                if name not in names:
+                    del self._rotations[name]
+
+    def _share(self) -> None:
+        """Share budgets and connections out among the instances known."""
+        names = self.state.members.list_recent(self._clock.now_ms())
+        self._extra_load.set_instances(len(names))
+        self._selector.set_instances(len(names))
+        self._slow_start.set_instances(names)
+
+    def _choose_service(self, route: Route) -> str:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        key = f"{route.name} {route.targets}"
+        rotation = self._rotations.get(key)
+        if rotation is None:
+            rotation = WeightedRotation(route.targets, self._random.random())
+            self._rotations[key] = rotation
+        return rotation.choose()
+
+    def _find_limits(self, service: str) -> ServiceLimits | None:
+        return self.state.catalog.services.get(service) if self.state.catalog else None
+
+    def _deny(
+        self, connection: CallerConnection, request_id: str, answer: HttpAnswer, reason: str
+    ) -> None:
+        connection.answer(answer)
+        self.counts.add("requests", reason)
+        version = self.state.catalog.version if self.state.catalog else None
+        self._log.write(
+            Event.REQUEST_DENIED,
+            "gateway",
+            id=request_id,
+            status=answer.status,
+            reason=reason,
+            version=version,
+        )
+
+    def _note_outcome(
+        self, request: RoutedRequest, version: int, outcome: Outcome, run: Run | None
+    ) -> None:
+        took_ms = self._clock.now_ms() - request.received_ms
+        fields = {}
+        if isinstance(outcome, Answered):
+            label = "partial" if outcome.missing else "answered"
+            fields["missing"] = outcome.missing
+        else:
+            label = type(outcome).__name__.lower()
+            fields["reason"] = outcome.reason
+        self.counts.add("requests", label)
+        self._log.write(
+            Event.REQUEST_ENDED,
+            "gateway",
+            id=request.id,
+            route=request.route.name,
+            version=version,
+            outcome=label,
+            took_ms=round(took_ms, 1),
+            calls=dict(run.reasons) if run else {},
+            state_age_ms=round(self._clock.now_ms() - self.state.heard_ms),
+            **fields,
+        )
+
+    def _note_fault(self, request: RoutedRequest, call: Call, failure: CallFailure) -> None:
+        self.counts.add("call_faults", failure.fault.value)
+        self._log.write(
+            Event.CALL_FAILED,
+            "forwarding",
+            id=request.id,
+            upstream=call.upstream.id,
+            service=call.upstream.service,
+            reason=call.reason,
+            fault=failure.fault.value,
+            status=failure.reply.status if failure.reply else None,
+            after_ms=round(self._clock.now_ms() - call.started_ms, 1),
+        )
+
+
+class _GatewayService(Service):
+    def __init__(self, gateway: Gateway, connections: Connections) -> None:
+        self._gateway = gateway
+        self.connections = connections
+
+    def get_limits(self) -> CallerLimits:
+        return self._gateway.caller_limits
+
+    def leave(self, connection: CallerConnection) -> None:
+        """Nothing is in progress on connections that are answered at once."""
+
+
+class RequestService(_GatewayService):
+    """Callers' requests."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        super().__init__(gateway, gateway.connections)
+        self._runs: dict[CallerConnection, Run] = {}
+
+    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        run = self._gateway.serve(request, connection)
+        if run is not None and connection.is_busy:
+            self._runs[connection] = run
+        else:
+            self._runs.pop(connection, None)
+
+    def leave(self, connection: CallerConnection) -> None:
+        run = self._runs.pop(connection, None)
+        if run is not None:
+            self._gateway.note_left(run)
+
+
+class DirectoryService(_GatewayService):
+    """Callers that ask for addresses."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        super().__init__(gateway, Connections())
+
+    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        connection.answer(self._gateway.resolve(request))
+
+
+class StatusService(_GatewayService):
+    """The platform's question whether this instance is ready."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        super().__init__(gateway, Connections())
+
+    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        status = 200 if self._gateway.is_ready else 503
+        connection.answer(HttpAnswer(status, (), b"ready\n" if status == 200 else b"not ready\n"))
--- /dev/null
+++ b/citronpaddle/platform/codec.py
@@ -0,0 +1,74 @@
+"""The platform's words for callers' requests and for the documents in the store."""
+
+import json
+
+from ..adapters.httpserver import HttpAnswer, HttpRequest
+from ..fleet import StateDecoder
+from ..forwarding import RoutedRequest
+from ..gateway import Admitted, CallerCodec
+from ..policy.catalog import Catalog
+from ..policy.exchange import Outcome
+from ..policy.registry import Upstream
+from . import documents, headers
+
+
+class PlatformCallerCodec(CallerCodec):
+    """Callers' requests and answers."""
+
+    def read_request(self, request: HttpRequest) -> Admitted | None:
+        fields = headers.read_fields(request)
+        if fields is None:
+            return None
+        return Admitted(
+            fields.attempt_id.decode("latin-1"),
+            fields.host,
+            fields.path,
+            fields.deadline_ms,
+            headers.make_content(request, fields),
+            request.method == b"HEAD",
+        )
+
+    def make_answer(self, request: RoutedRequest, outcome: Outcome) -> HttpAnswer:
+        return headers.make_answer(request, outcome)
+
+    def refuse(self, reason: str, retry_ms: float) -> HttpAnswer:
+        return headers.refuse(reason, retry_ms)
+
+    def find_resolve_domain(self, request: HttpRequest) -> str | None:
+        if request.target.partition(b"?")[0] != headers.RESOLVE_PATH:
+            return None
+        return headers.read_resolve(request.target).domain
+
+    def make_addresses(self, addresses: list[str], keep_s: float) -> HttpAnswer:
+        # `ttl_s` is how long the caller may keep the list.
+        body = json.dumps({"addrs": addresses, "ttl_s": keep_s}).encode()
+        return HttpAnswer(200, ((b"Content-Type", b"application/json"),), body)
+
+
+class PlatformStateDecoder(StateDecoder):
+    """The documents in the store."""
+
+    def is_catalog(self, key: str) -> bool:
+        return key == documents.CONFIG_KEY
+
+    def find_out_domain(self, key: str) -> str | None:
+        if key.startswith(documents.EVACUATION_PREFIX):
+            return documents.decode_evacuation(key)
+        return None
+
+    def find_upstream_id(self, key: str) -> str | None:
+        if key.startswith(documents.UPSTREAM_PREFIX):
+            return key[len(documents.UPSTREAM_PREFIX) :]
+        return None
+
+    def decode_catalog(self, value: bytes) -> Catalog | str:
+        try:
+            return documents.decode_catalog(value)
+        except documents.DocumentError as error:
+            return str(error)
+
+    def decode_upstream(self, upstream_id: str, value: bytes, now_ms: float) -> Upstream | str:
+        try:
+            return documents.decode_upstream(upstream_id, value, now_ms)
+        except documents.DocumentError as error:
+            return str(error)
--- /dev/null
+++ b/citronpaddle/platform/entry.py
@@ -0,0 +1,76 @@
+"""Runs an entry instance on the users' platform: `python -m citronpaddle.platform.entry`.
+
+The settings file is named by the variable CITRONPADDLE_CONFIG.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+
+from ..adapters.eventlog import Event, EventLog
+from ..clock import SystemClock
+from ..gateway import Gateway, GatewaySettings
+from ..randomness import RandomSource
+from ..status import ExitStatus
+from .codec import PlatformCallerCodec, PlatformStateDecoder
+from .headers import PlatformCodec
+from .settings import PlatformSettingsError, load_settings
+from .store import HttpStateStore
+
+SETTINGS_VARIABLE = "CITRONPADDLE_CONFIG"
+DEFAULT_SETTINGS = "/etc/citronpaddle/local.toml"
+
+
+async def run(settings: GatewaySettings, path: str) -> ExitStatus:
+    """Run the instance until SIGTERM or SIGINT; SIGHUP reads the settings anew."""
+    clock = SystemClock()
+    log = EventLog(settings.name, clock)
+    gateway = Gateway(
+        settings,
+        clock,
+        RandomSource(),
+        log,
+        PlatformCodec(),
+        PlatformCallerCodec(),
+        HttpStateStore,
+        PlatformStateDecoder(),
+    )
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, gateway, log, path)
+    try:
+        await gateway.start()
+    except OSError as error:
+        print(f"cannot listen: {error}", file=sys.stderr)
+        return ExitStatus.UNAVAILABLE
+    await stopped.wait()
+    await gateway.stop()
+    return ExitStatus.OK
+
+
+def _reload(gateway: Gateway, log: EventLog, path: str) -> None:
+    try:
+        gateway.reload(load_settings(path))
+    except PlatformSettingsError as error:
+        log.write(Event.SETTINGS_REFUSED, "entry", reason=str(error))
+
+
+def main() -> ExitStatus:
+    """Load the settings and run; return the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
+    try:
+        settings = load_settings(path)
+    except PlatformSettingsError as error:
+        print(f"settings: {error}", file=sys.stderr)
+        return ExitStatus.BAD_DOCUMENT
+    if "--check" in sys.argv[1:]:
+        print(f"{path}: settings of instance {settings.name} are valid")
+        return ExitStatus.OK
+    return asyncio.run(run(settings, path))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/citronpaddle/platform/headers.py
@@ -0,0 +1,174 @@
+"""The platform's HTTP headers and calls, decoded into the product's types and encoded from them."""
+
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+from ..adapters.httpclient import HttpResponse
+from ..adapters.httpserver import HttpAnswer, HttpRequest, list_end_to_end
+from ..forwarding import CallCodec, RoutedRequest
+from ..policy.exchange import Answered, CallFailure, Failed, Fault, Outcome, Refused, Reply
+from ..policy.records import merge_records
+from ..policy.registry import Upstream
+
+# Identifies one attempt of a caller; upstreams repeat it in their responses.
+ATTEMPT_ID = b"Citronpaddle-Attempt-Id"
+# How many ms whoever sent the request will wait for the answer.
+DEADLINE = b"Citronpaddle-Deadline-Ms"
+# The only upstream that may run the call; another one at its address answers 421.
+EXPECTED_UPSTREAM = b"Citronpaddle-Expect-Instance"
+# The upstream's proof of what it answered; not a time.
+SIGNATURE = b"Citronpaddle-Server-Stamp"
+# The signatures of the parts that an answer was merged from.
+PART_SIGNATURES = b"Citronpaddle-Part-Stamps"
+# The number of shards that are not in the answer.
+MISSING_PARTS = b"Citronpaddle-Missing-Parts"
+# Says that the upstream has not run the request and never will.
+NOT_EXECUTED = b"citronpaddle-not-executed"
+
+_SIGNATURE_KEY = SIGNATURE.lower()
+_ATTEMPT_KEY = ATTEMPT_ID.lower()
+_DEADLINE_KEY = DEADLINE.lower()
+_SET_HERE = frozenset({_DEADLINE_KEY, EXPECTED_UPSTREAM.lower()})
+_MAX_DEADLINE_MS = 86_400_000
+
+READY_PATH = b"/citronpaddle/ready"
+RESOLVE_PATH = b"/citronpaddle/resolve"
+
+
+class CallerFields(NamedTuple):
+    """What the headers of a caller's request say; `deadline_ms` is None if none is given."""
+
+    host: str
+    path: str
+    attempt_id: bytes
+    deadline_ms: float | None
+
+
+class CallContent(NamedTuple):
+    """A caller's request as it goes to upstreams, but for what is set anew for each call."""
+
+    head: bytes
+    body: bytes
+    attempt_id: bytes
+
+
+class ResolveFields(NamedTuple):
+    """Who asks for addresses, as far as the query says; the values may be empty."""
+
+    host: str
+    domain: str
+
+
+def read_fields(request: HttpRequest) -> CallerFields | None:
+    """Return the fields of a caller's request, or None if it is malformed."""
+    host: bytes | None = None
+    attempt_id = b""
+    deadline_ms: float | None = None
+    for name, value in request.headers:
+        key = name.lower()
+        if key == b"host":
+            if host is not None and host != value:
+                return None
+            host = value
+        elif key == _ATTEMPT_KEY:
+            attempt_id = value.strip()
+        elif key == _DEADLINE_KEY and value.strip().isdigit():
+            deadline_ms = float(min(int(value), _MAX_DEADLINE_MS))
+    if not host or not request.target.startswith(b"/"):
+        return None
+    path = request.target.partition(b"?")[0]
+    host_name = host.decode("latin-1").strip().lower()
+    if ":" in host_name:
+        host_name = host_name.rpartition(":")[0]
+    return CallerFields(host_name, path.decode("latin-1"), attempt_id, deadline_ms)
+
+
+def read_resolve(target: bytes) -> ResolveFields:
+    """Return who asks for addresses."""
+    query = parse_qs(target.partition(b"?")[2].decode("latin-1"))
+    return ResolveFields(query.get("name", [""])[0], query.get("zone", [""])[0])
+
+
+def make_content(request: HttpRequest, fields: CallerFields) -> CallContent:
+    """Return the request as it goes to upstreams: method, path, query and body unchanged."""
+    lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+    for header in list_end_to_end(request.headers, _SET_HERE):
+        lines.append(b"%s: %s\r\n" % header)
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    return CallContent(b"".join(lines), request.body, fields.attempt_id)
+
+
+class PlatformCodec(CallCodec):
+    """Calls to upstreams in the platform's words."""
+
+    def encode_call(self, request: CallContent, upstream: Upstream, left_ms: float) -> bytes:
+        return b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
+            request.head,
+            DEADLINE,
+            max(1, int(left_ms)),
+            EXPECTED_UPSTREAM,
+            upstream.id.encode("latin-1"),
+            request.body,
+        )
+
+    def is_own(self, request: CallContent, response: HttpResponse) -> bool:
+        for name, value in response.headers:
+            if name.lower() == _ATTEMPT_KEY:
+                return value == request.attempt_id
+        return True
+
+    def decode_response(
+        self, request: CallContent, response: HttpResponse, is_part: bool
+    ) -> Reply | CallFailure:
+        signature = b""
+        is_rejected = False
+        for name, value in response.headers:
+            key = name.lower()
+            if key == _SIGNATURE_KEY:
+                signature = value.strip()
+            elif key == NOT_EXECUTED:
+                is_rejected = True
+        if response.status == 421:
+            return CallFailure(Fault.MISDIRECTED)
+        if is_rejected:
+            return CallFailure(Fault.REJECTED)
+        reply = Reply(response.status, response.headers, response.body, signature)
+        if 200 <= response.status < 300:
+            return reply if signature else CallFailure(Fault.GARBLED)
+        if 400 <= response.status < 500 and not is_part and response.status not in (408, 429):
+            return reply
+        return CallFailure(Fault.ERROR, reply)
+
+
+def make_answer(request: RoutedRequest, outcome: Outcome) -> HttpAnswer:
+    """Return the answer to the caller for the outcome of its request."""
+    if isinstance(outcome, Answered):
+        if request.route.shards:
+            return _merge(request, outcome)
+        reply = outcome.replies[0]
+        return HttpAnswer(reply.status, tuple(list_end_to_end(reply.headers)), reply.body)
+    attempt = (ATTEMPT_ID, request.content.attempt_id)
+    if isinstance(outcome, Refused):
+        return refuse(outcome.reason, outcome.retry_ms, (attempt,))
+    assert isinstance(outcome, Failed)
+    return HttpAnswer(504 if outcome.is_late else 502, (attempt,), outcome.reason.encode())
+
+
+def refuse(
+    reason: str, retry_ms: float, headers: tuple[tuple[bytes, bytes], ...] = ()
+) -> HttpAnswer:
+    """Return the answer to a request that has not run, and when to come back."""
+    retry_after = (b"Retry-After", b"%.3f" % (retry_ms / 1_000))
+    return HttpAnswer(503, (retry_after, *headers), reason.encode())
+
+
+def _merge(request: RoutedRequest, outcome: Answered) -> HttpAnswer:
+    body = merge_records((reply.body for reply in outcome.replies), request.route.top_k)
+    headers = (
+        (ATTEMPT_ID, request.content.attempt_id),
+        (PART_SIGNATURES, b", ".join(reply.signature for reply in outcome.replies)),
+        (MISSING_PARTS, b"%d" % outcome.missing),
+        (b"Content-Type", b"application/octet-stream"),
+    )
+    return HttpAnswer(200, headers, body)
--- /dev/null
+++ b/citronpaddle/platform/store.py
@@ -0,0 +1,165 @@
+"""The client of the platform's store."""
+
+import asyncio
+import base64
+import json
+from typing import Any
+from urllib.parse import quote
+
+from ..adapters.connections import Address, ConnectionPool
+from ..adapters.httpclient import HttpFailure, HttpResponse, ResponseSink
+from ..statestore import (
+    HistoryLost,
+    Lease,
+    LeaseEnded,
+    StateStore,
+    StoreChanges,
+    StoreFailure,
+    StoreItem,
+    StoreView,
+)
+
+# The store answers in a few ms; a slow one takes some hundred, which is still better than none.
+CALL_TIMEOUT_MS = 2_000.0
+# A watch's answer is due this much after the time it was told to wait.
+WATCH_MARGIN_MS = 2_000.0
+_IDLE_MS = 10_000.0
+_ROOT = "/citronpaddle"
+
+
+class HttpStateStore(StateStore):
+    """The store over HTTP."""
+
+    def __init__(self, address: Address, pool: ConnectionPool) -> None:
+        self._address = address
+        self._pool = pool
+
+    async def read_all(self, prefix: str) -> StoreView | StoreFailure:
+        items: list[StoreItem] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            path = f"{_ROOT}/kv-range?prefix={quote(prefix, safe='')}"
+            if after:
+                path += f"&after={quote(after, safe='')}"
+            answer = await self._call("GET", path)
+            if isinstance(answer, StoreFailure):
+                return answer
+            _, body = answer
+            try:
+                page = [_read_item(item) for item in body["items"]]
+                # Pages are no snapshot: what changed since the first one follows by the watch.
+                revision = body["as_of"] if revision is None else revision
+                has_more = body["has_more"]
+            except (KeyError, TypeError, ValueError) as error:
+                return StoreFailure(f"unreadable page: {error!r}")
+            items.extend(page)
+            if not has_more or not page:
+                return StoreView(tuple(items), revision)
+            after = page[-1].key
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> StoreChanges | HistoryLost | StoreFailure:
+        path = f"{_ROOT}/kv-watch?prefix={quote(prefix, safe='')}&after={after}&wait_ms={wait_ms}"
+        answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS, lost=410)
+        if isinstance(answer, StoreFailure):
+            return answer
+        status, body = answer
+        if status == 410:
+            return HistoryLost()
+        try:
+            return StoreChanges(tuple(_read_item(item) for item in body["events"]), body["as_of"])
+        except (KeyError, TypeError, ValueError) as error:
+            return StoreFailure(f"unreadable events: {error!r}")
+
+    async def grant_lease(self, ttl_ms: float) -> Lease | StoreFailure:
+        answer = await self._call("POST", f"{_ROOT}/kv-lease", {"ttl_ms": int(ttl_ms)})
+        if isinstance(answer, StoreFailure):
+            return answer
+        try:
+            return Lease(int(answer[1]["lease"]), float(answer[1]["ttl_ms"]))
+        except (KeyError, TypeError, ValueError) as error:
+            return StoreFailure(f"unreadable lease: {error!r}")
+
+    async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
+        answer = await self._call("POST", f"{_ROOT}/kv-keep/{lease.id}", {}, lost=404)
+        if isinstance(answer, StoreFailure):
+            return answer
+        return LeaseEnded() if answer[0] == 404 else lease
+
+    async def end_lease(self, lease: Lease) -> StoreFailure | None:
+        answer = await self._call("DELETE", f"{_ROOT}/kv-lease-end/{lease.id}", lost=404)
+        return answer if isinstance(answer, StoreFailure) else None
+
+    async def put(self, key: str, value: bytes, lease: Lease) -> LeaseEnded | StoreFailure | None:
+        text = base64.b64encode(value).decode()
+        body = {
+            "precondition": [],
+            "writes": [{"key": key, "value": text, "lease": lease.id}],
+            "deletes": [],
+        }
+        answer = await self._call("POST", f"{_ROOT}/kv-txn", body, lost=404)
+        if isinstance(answer, StoreFailure):
+            return answer
+        return LeaseEnded() if answer[0] == 404 else None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+        lost: int = 0,
+    ) -> tuple[int, Any] | StoreFailure:
+        """Return status and decoded body of a success, or of status `lost`."""
+        content = b"" if body is None else json.dumps(body).encode()
+        host, port = self._address
+        request = (
+            f"{method} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
+        ).encode() + content
+        future: asyncio.Future[HttpResponse | HttpFailure] = (
+            asyncio.get_running_loop().create_future()
+        )
+        sink = ResponseSink(lambda response: True, _resolver(future), _resolver(future))
+        dispatch = self._pool.dispatch(self._address, lambda: request, sink, _IDLE_MS)
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                response = await future
+        except TimeoutError:
+            dispatch.cancel()
+            return StoreFailure("no answer in time")
+        except asyncio.CancelledError:
+            dispatch.cancel()
+            raise
+        if isinstance(response, HttpFailure):
+            return StoreFailure(response.reason)
+        return _read_response(response, lost)
+
+
+def _resolver(future: asyncio.Future):
+    def resolve(result) -> None:
+        if not future.done():
+            future.set_result(result)
+
+    return resolve
+
+
+def _read_response(response: HttpResponse, lost: int) -> tuple[int, Any] | StoreFailure:
+    if response.status == lost:
+        return response.status, None
+    if response.status != 200:
+        return StoreFailure(f"status {response.status}")
+    try:
+        return response.status, json.loads(response.body or b"{}")
+    except ValueError as error:
+        return StoreFailure(f"unreadable answer: {error}")
+
+
+def _read_item(item: dict[str, Any]) -> StoreItem:
+    # An event with `tombstone` says that the key was deleted.
+    if item.get("tombstone"):
+        return StoreItem(str(item["key"]), None, int(item["revision"]))
+    value = base64.b64decode(item["value"], validate=True)
+    return StoreItem(str(item["key"]), value, int(item["revision"]))
--- /dev/null
+++ b/citronpaddle/policy/catalog.py
@@ -0,0 +1,112 @@
+"""The operators' configuration of HTTP routes, and the search for the route of a request."""
+
+from typing import NamedTuple
+
+
+class WeightedService(NamedTuple):
+    """One service of a split route; requests are shared out in proportion to the weights."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """Where the requests of one host and path prefix go, and what they may cost.
+
+    A route has either `shards`, all of which take part in every answer, or `targets`, one of which
+    serves the request. `max_upstreams` bounds the upstreams of one request, per shard. An answer
+    over shards needs the share `min_coverage` of them. Lower `priority` is more urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    is_idempotent: bool
+    timeout_ms: float
+    objective_ms: float
+    priority: int
+    max_upstreams: int
+    targets: tuple[WeightedService, ...] = ()
+    shards: tuple[str, ...] = ()
+    top_k: int = 0
+    min_coverage: float = 1.0
+
+
+class ServiceLimits(NamedTuple):
+    """What all callers together may ask of each upstream of a service.
+
+    A cold upstream bears `cold_rate_per_s` requests a second; 0 states no such limit.
+    """
+
+    name: str
+    max_connections: int
+    cold_ms: float
+    cold_rate_per_s: float
+    health_path: str = "/"
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how long it may take over a header or stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+class Catalog:
+    """One version of the configuration; immutable once built."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[ServiceLimits, ...],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.limits = limits
+        self.services = {service.name: service for service in services}
+        self._routes_by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path` at `host`, or None.
+
+        Every prefix ends in a slash, so only as many look-ups are made as the path has segments.
+        """
+        routes = self._routes_by_host.get(host)
+        if routes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+class WeightedRotation:
+    """Shares requests out among the services of a split route, smoothly and exactly by weight."""
+
+    def __init__(self, targets: tuple[WeightedService, ...], start: float) -> None:
+        """Begin at `start` (0 to 1) of a full turn, so that instances are out of step."""
+        self._targets = targets
+        self._total = sum(target.weight for target in targets)
+        self._credits = [0.0] * len(targets)
+        if self._total > 0 and len(targets) > 1:
+            for _ in range(int(start * 16)):
+                self.choose()
+
+    def choose(self) -> str:
+        """Return the service of the next request."""
+        if len(self._targets) == 1 or self._total <= 0:
+            return self._targets[0].service
+        for index, target in enumerate(self._targets):
+            self._credits[index] += target.weight
+        best = max(range(len(self._targets)), key=self._credits.__getitem__)
+        self._credits[best] -= self._total
+        return self._targets[best].service
--- /dev/null
+++ b/citronpaddle/policy/exchange.py
@@ -0,0 +1,468 @@
+"""One caller's request: which upstreams to call, when to call again, when to answer and with what.
+
+An exchange has one part per shard of its route, or a single part for a route to one upstream.
+Times are in ms on one monotonic clock. Methods return the actions to take, in order.
+"""
+
+import itertools
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+from .catalog import Route
+from .extraload import ExtraLoad
+from .hedging import LatencyWindow
+from .registry import Upstream
+from .selection import Selector
+
+# Calls of one part, rejected ones included; more would keep an upstream in trouble busy.
+MAX_CALLS = 5
+# An answer has to get back to the caller: the part of the objective kept for the way, and at least
+# this much for a merge and for a link of a few ms.
+ANSWER_MARGIN_SHARE = 0.06
+ANSWER_MARGIN_MS = 8.0
+# The route's time-out is kept with this margin for the answer.
+TIMEOUT_MARGIN_MS = 15.0
+# Before there are samples, a call counts as late after this share of the objective.
+FIRST_LATE_SHARE = 0.35
+LATE_QUANTILE = 0.88
+MIN_SAMPLES = 30
+SAMPLE_WINDOW_MS = 10_000.0
+MIN_LATE_MS = 3.0
+# A call to an upstream that rejected the last one waits this long, doubling each time.
+FIRST_BACKOFF_MS = 10.0
+# Without an established connection after this time, another upstream is tried in its place.
+CONNECT_PATIENCE_MS = 60.0
+# How often a part that waits for room at an upstream looks again.
+ROOM_RECHECK_MS = 5.0
+# What a caller is told to wait when no upstream is listed, and when all rejected the request.
+RETRY_UNLISTED_MS = 400.0
+RETRY_REJECTED_MS = 100.0
+
+
+class Fault(StrEnum):
+    """Why a call brought no answer."""
+
+    UNREACHABLE = "unreachable"
+    REJECTED = "rejected"
+    MISDIRECTED = "misdirected"
+    BROKEN = "broken"
+    GARBLED = "garbled"
+    TIMED_OUT = "timed_out"
+    ERROR = "error"
+
+
+# Faults that say for certain that the upstream has not run the call, and never will.
+_NOT_RUN = frozenset({Fault.UNREACHABLE, Fault.REJECTED, Fault.MISDIRECTED})
+
+
+class Reply(NamedTuple):
+    """A complete answer of an upstream; `signature` proves to the caller who gave it."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    signature: bytes
+
+
+class CallFailure(NamedTuple):
+    """A call without a usable answer; `reply` is the upstream's own failure answer, if complete."""
+
+    fault: Fault
+    reply: Reply | None = None
+
+
+@dataclass(slots=True)
+class Call:
+    """One call to an upstream; `is_sent` is set when its first byte may have left."""
+
+    id: int
+    part: int
+    upstream: Upstream
+    started_ms: float
+    reason: str
+    is_sent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start this call."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """End this call; nobody waits for it."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The answer: the replies of the parts that are in, and how many are missing."""
+
+    replies: tuple[Reply, ...]
+    missing: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Not run, and never will be; the caller may come back after `retry_ms`."""
+
+    reason: str
+    retry_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """No answer, and an upstream may have run the request."""
+
+    reason: str
+    is_late: bool
+
+
+Outcome = Answered | Refused | Failed
+Action = Send | Cancel
+
+
+@dataclass(slots=True)
+class _Part:
+    service: str
+    reply: Reply | None = None
+    error: Reply | None = None
+    open: dict[int, Call] = field(default_factory=dict)
+    tried: list[str] = field(default_factory=list)
+    calls: int = 0
+    resume_ms: float = 0.0
+    # Ended calls that an upstream may have run.
+    doubtful: int = 0
+    is_done: bool = False
+    is_hopeful: bool = True
+    is_hedged: bool = False
+    last_fault: str = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an upstream may have run a call of this part, or may yet."""
+        return self.doubtful > 0 or any(call.is_sent for call in self.open.values())
+
+
+class Latencies:
+    """When a call of a route counts as late, from the answer times of its calls."""
+
+    def __init__(self) -> None:
+        self._windows: dict[str, LatencyWindow] = {}
+        self._late_ms: dict[str, tuple[float, float]] = {}
+
+    def add(self, route: Route, now_ms: float, took_ms: float) -> None:
+        """Count the time of one answer."""
+        window = self._windows.get(route.name)
+        if window is None:
+            window = self._windows[route.name] = LatencyWindow(SAMPLE_WINDOW_MS)
+        window.add(now_ms, took_ms)
+
+    def find_late(self, route: Route, now_ms: float) -> float:
+        """Return after how many ms a call of `route` counts as late."""
+        cached = self._late_ms.get(route.name)
+        if cached is not None and now_ms < cached[0]:
+            return cached[1]
+        window = self._windows.get(route.name)
+        late_ms = None
+        if window is not None:
+            late_ms = window.compute_quantile(now_ms, LATE_QUANTILE, MIN_SAMPLES)
+        if late_ms is None:
+            late_ms = cached[1] if cached else FIRST_LATE_SHARE * route.objective_ms
+        # A quantile above the first guess comes from many upstreams in trouble at once.
+        late_ms = max(MIN_LATE_MS, min(late_ms, FIRST_LATE_SHARE * route.objective_ms))
+        self._late_ms[route.name] = (now_ms + 250.0, late_ms)
+        return late_ms
+
+
+class Tools(NamedTuple):
+    """What all exchanges of an instance share."""
+
+    selector: Selector
+    extra_load: ExtraLoad
+    latencies: Latencies
+    call_ids: itertools.count
+
+
+class Exchange:
+    """The decisions for one request."""
+
+    def __init__(
+        self,
+        route: Route,
+        services: tuple[str, ...],
+        received_ms: float,
+        end_ms: float,
+        tools: Tools,
+    ) -> None:
+        """Take the services to ask, one part each, and the caller's deadline `end_ms`."""
+        self.route = route
+        self.received_ms = received_ms
+        self.end_ms = min(end_ms, received_ms + route.timeout_ms) - TIMEOUT_MARGIN_MS
+        self.outcome: Outcome | None = None
+        self._is_gather = bool(route.shards)
+        margin_ms = max(ANSWER_MARGIN_MS, ANSWER_MARGIN_SHARE * route.objective_ms)
+        self.soft_end_ms = received_ms + route.objective_ms - margin_ms
+        self._tools = tools
+        self._parts = [_Part(service) for service in services]
+        self._waiting = len(self._parts)
+        self._late_ms = tools.latencies.find_late(route, received_ms)
+        self._calls: dict[int, Call] = {}
+
+    @property
+    def parts_in(self) -> int:
+        """Return how many parts have an answer."""
+        return sum(1 for part in self._parts if part.reply is not None)
+
+    @property
+    def open_calls(self) -> list[Call]:
+        """Return the calls that have not ended."""
+        return list(self._calls.values())
+
+    def start(self, now_ms: float) -> list[Action]:
+        """Return the first calls."""
+        actions: list[Action] = []
+        selector = self._tools.selector
+        if not self._is_gather and not selector.is_listed(self._parts[0].service):
+            self.outcome = Refused("no_upstream", RETRY_UNLISTED_MS)
+            return actions
+        if self._is_gather:
+            listed = sum(1 for part in self._parts if selector.is_listed(part.service))
+            if listed == 0 or not self._suffices(listed):
+                self.outcome = Refused("too_few_shards", RETRY_UNLISTED_MS)
+                return actions
+        for index in range(len(self._parts)):
+            self._tools.extra_load.note_request(self._parts[index].service, now_ms)
+            self._call(index, now_ms, "first", actions)
+        self._decide(now_ms)
+        return actions
+
+    def note_sent(self, call: Call) -> None:
+        """Note that bytes of this call may have left."""
+        call.is_sent = True
+
+    def handle_reply(self, call: Call, reply: Reply, now_ms: float) -> list[Action]:
+        """Take a good answer of an upstream."""
+        self._end(call)
+        took_ms = now_ms - call.started_ms
+        self._tools.selector.note_answer(call.upstream.id, call.id, self.route.name, now_ms)
+        self._tools.latencies.add(self.route, now_ms, took_ms)
+        part = self._parts[call.part]
+        if part.reply is None and self.outcome is None:
+            part.reply = reply
+            self._finish_part(part)
+            self._decide(now_ms)
+        return []
+
+    def handle_failure(self, call: Call, failure: CallFailure, now_ms: float) -> list[Action]:
+        """Take the end of a call without an answer; a repeat is due at once or later."""
+        self._end(call)
+        fault = failure.fault
+        self._tools.selector.note_failure(
+            call.upstream.id,
+            call.id,
+            now_ms,
+            fault in (Fault.UNREACHABLE, Fault.TIMED_OUT, Fault.MISDIRECTED),
+        )
+        part = self._parts[call.part]
+        part.last_fault = fault.value
+        actions: list[Action] = []
+        if self.outcome is not None or part.is_done:
+            return actions
+        if call.is_sent and fault not in _NOT_RUN:
+            part.doubtful += 1
+        if failure.reply is not None and fault is Fault.ERROR:
+            part.error = failure.reply
+        if not part.open:
+            self._repeat(call, fault, now_ms, actions)
+        self._decide(now_ms)
+        return actions
+
+    def handle_time(self, now_ms: float) -> list[Action]:
+        """Hedge late calls, resume waiting parts, and answer when it is time."""
+        actions: list[Action] = []
+        if self.outcome is not None:
+            return actions
+        for index, part in enumerate(self._parts):
+            if part.is_done:
+                continue
+            if not part.open:
+                if now_ms >= part.resume_ms:
+                    reason = "first" if part.calls == 0 else "retry"
+                    self._call(index, now_ms, reason, actions)
+            else:
+                self._hedge(index, now_ms, actions)
+        self._decide(now_ms)
+        return actions
+
+    def next_time_ms(self, now_ms: float) -> float:
+        """Return when `handle_time` is due next."""
+        due_ms = self.end_ms
+        if self._is_gather and now_ms < self.soft_end_ms:
+            due_ms = min(due_ms, self.soft_end_ms)
+        for part in self._parts:
+            if part.is_done:
+                continue
+            if not part.open:
+                due_ms = min(due_ms, max(part.resume_ms, now_ms + ROOM_RECHECK_MS))
+            elif not part.is_hedged:
+                due_ms = min(due_ms, max(self._find_hedge_time(part), now_ms + 1.0))
+        return due_ms
+
+    def cancel(self, now_ms: float) -> list[Action]:
+        """End everything: the caller has left, or the losing calls have had their time."""
+        actions: list[Action] = []
+        for call in list(self._calls.values()):
+            self._end(call)
+            self._parts[call.part].doubtful += call.is_sent
+            self._tools.selector.note_cancelled(
+                call.upstream.id, call.id, now_ms, 2.0 * self._late_ms
+            )
+            actions.append(Cancel(call))
+        return actions
+
+    def _find_hedge_time(self, part: _Part) -> float:
+        first = next(iter(part.open.values()))
+        if self.route.is_idempotent:
+            return first.started_ms + self._late_ms
+        return first.started_ms + CONNECT_PATIENCE_MS
+
+    def _hedge(self, index: int, now_ms: float, actions: list[Action]) -> None:
+        part = self._parts[index]
+        if part.is_hedged or now_ms < self._find_hedge_time(part):
+            return
+        first = next(iter(part.open.values()))
+        if not self.route.is_idempotent:
+            part.is_hedged = True
+            if first.is_sent:
+                return
+            # Nothing has left yet, so another upstream can take the call over.
+            self._end(first)
+            self._tools.selector.note_failure(first.upstream.id, first.id, now_ms, True)
+            actions.append(Cancel(first))
+            part.is_hedged = False
+            self._call(index, now_ms, "connect", actions)
+            return
+        if len(part.tried) >= self.route.max_upstreams:
+            part.is_hedged = True
+            return
+        service = part.service
+        avoid = part.tried
+        choice = self._tools.selector.choose(service, now_ms, self._late_ms, avoid)
+        if choice is None or not choice.is_promising:
+            part.is_hedged = True
+            return
+        if first.is_sent and not self._tools.extra_load.spend(service, now_ms, True):
+            part.is_hedged = True
+            return
+        part.is_hedged = True
+        self._send(index, choice.upstream, now_ms, "hedge", actions)
+
+    def _call(self, index: int, now_ms: float, reason: str, actions: list[Action]) -> None:
+        """Call an upstream for this part; without room at one the part waits."""
+        part = self._parts[index]
+        selector = self._tools.selector
+        full = len(part.tried) >= self.route.max_upstreams
+        choice = None
+        if not full:
+            choice = selector.choose(part.service, now_ms, self._late_ms, part.tried)
+        if choice is None and part.tried and self.route.max_upstreams > 1:
+            # All have been tried: the one of them that looks best may be over its trouble.
+            others = self._list_others(part)
+            choice = selector.choose(part.service, now_ms, self._late_ms, others)
+        if choice is None:
+            if not selector.is_listed(part.service):
+                part.last_fault = part.last_fault or "no_upstream"
+                self._finish_part(part)
+                return
+            part.resume_ms = now_ms + ROOM_RECHECK_MS
+            return
+        if part.calls > 0 and reason == "retry":
+            if not self._tools.extra_load.spend(part.service, now_ms, False):
+                self._finish_part(part)
+                return
+        part.is_hopeful = choice.is_promising
+        self._send(index, choice.upstream, now_ms, reason, actions)
+
+    def _list_others(self, part: _Part) -> list[str]:
+        """Return the upstreams that the part may not use: it has used as many others already."""
+        if len(part.tried) < self.route.max_upstreams:
+            return []
+        registry = self._tools.selector
+        return [name for name in registry.list_ids(part.service) if name not in part.tried]
+
+    def _send(
+        self, index: int, upstream: Upstream, now_ms: float, reason: str, actions: list[Action]
+    ) -> None:
+        part = self._parts[index]
+        call = Call(next(self._tools.call_ids), index, upstream, now_ms, reason)
+        part.calls += 1
+        part.open[call.id] = call
+        self._calls[call.id] = call
+        if upstream.id not in part.tried:
+            part.tried.append(upstream.id)
+        self._tools.selector.note_sent(upstream, call.id, now_ms)
+        actions.append(Send(call))
+
+    def _repeat(self, call: Call, fault: Fault, now_ms: float, actions: list[Action]) -> None:
+        part = self._parts[call.part]
+        may_repeat = self.route.is_idempotent or not part.may_have_run
+        if not may_repeat or part.calls >= MAX_CALLS:
+            self._finish_part(part)
+            return
+        part.is_hedged = False
+        delay_ms = 0.0
+        if part.calls >= 2:
+            delay_ms = FIRST_BACKOFF_MS * 2 ** (part.calls - 2)
+        if delay_ms:
+            part.resume_ms = now_ms + delay_ms
+            return
+        # A call that reached no upstream costs none of the budget.
+        reason = "reconnect" if fault is Fault.UNREACHABLE else "retry"
+        self._call(call.part, now_ms, reason, actions)
+
+    def _end(self, call: Call) -> None:
+        self._calls.pop(call.id, None)
+        self._parts[call.part].open.pop(call.id, None)
+
+    def _finish_part(self, part: _Part) -> None:
+        if not part.is_done:
+            part.is_done = True
+            self._waiting -= 1
+
+    def _suffices(self, count: int) -> bool:
+        # The share is a decimal fraction: 0.9 of 10 must not come out above 9.
+        return count >= 1 and count >= self.route.min_coverage * len(self._parts) - 1e-9
+
+    def _decide(self, now_ms: float) -> None:
+        if self.outcome is not None:
+            return
+        if self._waiting == 0:
+            self.outcome = self._build_outcome(False)
+        elif now_ms >= self.end_ms:
+            self.outcome = self._build_outcome(True)
+        elif self._is_gather and self._waiting < len(self._parts):
+            open_parts = [part for part in self._parts if not part.is_done]
+            is_time = now_ms >= self.soft_end_ms
+            if (is_time or not any(part.is_hopeful for part in open_parts)) and self._suffices(
+                self.parts_in
+            ):
+                self.outcome = self._build_outcome(False)
+
+    def _build_outcome(self, is_late: bool) -> Outcome:
+        replies = tuple(part.reply for part in self._parts if part.reply is not None)
+        if self._is_gather:
+            if self._suffices(len(replies)):
+                return Answered(replies, len(self._parts) - len(replies))
+        elif replies:
+            return Answered(replies, 0)
+        elif self._parts[0].error is not None:
+            return Answered((self._parts[0].error,), 0)
+        reason = next((part.last_fault for part in self._parts if part.last_fault), "no_answer")
+        if any(part.may_have_run for part in self._parts):
+            return Failed(reason, is_late)
+        return Refused(reason, RETRY_REJECTED_MS)
