--- a/citronpaddle/adapters/httpserver.py
+++ b/citronpaddle/adapters/httpserver.py
@@ -257,6 +257,7 @@
     def __init__(self) -> None:
         self.is_closing = False
         self._open: set[CallerConnection] = set()
+        self._over = asyncio.Event()
 
     def __len__(self) -> int:
         return len(self._open)
@@ -268,11 +269,21 @@
     def discard(self, connection: CallerConnection) -> None:
         """Forget a connection that is over."""
         self._open.discard(connection)
+        self._over.set()
 
     def count_busy(self) -> int:
         """Return how many requests are in progress."""
         return sum(1 for connection in self._open if connection.is_busy)
 
+    async def wait_for_change(self, timeout_ms: float) -> None:
+        """Return when a connection is over, or after the time-out."""
+        self._over.clear()
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                await self._over.wait()
+        except TimeoutError:
+            return
+
     def check_times(self, now_ms: float) -> None:
         """Close connections that are overdue."""
         for connection in list(self._open):
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -37,6 +37,9 @@
 # Without a configuration, a caller is told to come back after this time.
 RETRY_UNREADY_MS = 500.0
 BACKLOG = 512
+# On a stop, how often it is checked whether callers have gone, and the time for the last answer.
+STOP_CHECK_MS = 50.0
+LAST_BYTES_MS = 50.0
 
 
 class GatewaySettings(NamedTuple):
@@ -187,16 +190,12 @@
         linger_ms = started_ms + min(
             LIST_MEMORY * 1_000 * self._settings.keep_s, self._settings.grace_ms / 2
         )
-        while self._clock.now_ms() < end_ms:
-            if self._clock.now_ms() >= linger_ms and not self.connections.count_busy():
-                break
-            await asyncio.sleep(0.05)
+        await self._wait_for_callers(linger_ms, end_ms)
         for server in self._servers:
             server.close()
         self.connections.close_idle()
-        while self.connections.count_busy() and self._clock.now_ms() < end_ms:
-            await asyncio.sleep(0.02)
-        await asyncio.sleep(0.05)
+        await self._wait_for_callers(0.0, end_ms)
+        await asyncio.sleep(LAST_BYTES_MS / 1_000)
         for task in self._tasks:
             task.cancel()
         await self._fleet.stop()
@@ -204,6 +203,13 @@
         self._log.write(Event.STOPPED, "gateway", took_ms=round(self._clock.now_ms() - started_ms))
         self._log.flush()
 
+    async def _wait_for_callers(self, from_ms: float, end_ms: float) -> None:
+        """Return once no request is in progress after `from_ms`, or at `end_ms`."""
+        while (now_ms := self._clock.now_ms()) < end_ms:
+            if now_ms >= from_ms and not self.connections.count_busy():
+                return
+            await self.connections.wait_for_change(STOP_CHECK_MS)
+
     def reload(self, settings: GatewaySettings) -> None:
         """Take over settings that may change while the instance runs."""
         self._settings = settings
--- a/citronpaddle/policy/slowstart.py
+++ b/citronpaddle/policy/slowstart.py
@@ -6,7 +6,7 @@
 import math
 from typing import NamedTuple
 
-import xxhash
+from .rendezvous import rank_candidates
 
 
 class ColdLimits(NamedTuple):
@@ -60,9 +60,6 @@
         """Return the ms between two requests of this instance, or None if it is not chosen."""
         bound = rate_per_s * self._limits.overshoot + self._limits.slack
         users = max(1, min(len(self._instances), math.floor(bound - rate_per_s)))
-        ranked = sorted(
-            self._instances, key=lambda name: xxhash.xxh64_intdigest(name + upstream_id)
-        )
-        if self._name not in ranked[:users]:
+        if self._name not in rank_candidates(upstream_id, self._instances)[:users]:
             return None
         return 1_000.0 * users / rate_per_s
--- /dev/null
+++ b/tests/exchanges.py
@@ -0,0 +1,174 @@
+"""Builders and a scripted world for tests of exchanges in virtual time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import NamedTuple
+
+from citronpaddle.policy.catalog import Route, ServiceLimits, WeightedService
+from citronpaddle.policy.exchange import (
+    Call,
+    CallFailure,
+    Cancel,
+    Exchange,
+    Fault,
+    Latencies,
+    Outcome,
+    Reply,
+    Send,
+    Tools,
+)
+from citronpaddle.policy.extraload import ExtraLoad, ExtraLoadLimits
+from citronpaddle.policy.registry import Registry, Upstream
+from citronpaddle.policy.selection import Selector
+from citronpaddle.policy.slowstart import ColdLimits, SlowStart
+from citronpaddle.randomness import RandomSource
+
+LIMITS = ExtraLoadLimits(ratio=0.2, slack=58.0, window_ms=10_000.0)
+
+
+def make_route(**changes) -> Route:
+    """Return a route over two shards; `changes` replace fields."""
+    fields = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/p/",
+        "is_idempotent": True,
+        "timeout_ms": 1_000.0,
+        "objective_ms": 100.0,
+        "priority": 1,
+        "max_upstreams": 2,
+        "shards": ("s0", "s1"),
+        "top_k": 5,
+        "min_coverage": 0.5,
+    }
+    return Route(**(fields | changes))
+
+
+def make_single_route(**changes) -> Route:
+    """Return a route to one service."""
+    targets = (WeightedService("s0", 1.0),)
+    return make_route(**({"shards": (), "targets": targets, "min_coverage": 0.0} | changes))
+
+
+def make_upstream(name: str, service: str = "s0", **changes) -> Upstream:
+    """Return a warm upstream of two slots; `changes` replace fields."""
+    port = 1_000 + sum(name.encode())
+    upstream = Upstream(name, service, "127.0.0.1", port, "a", 2, False, 0.0, 1, 1)
+    return upstream._replace(**changes)
+
+
+def make_reply(status: int = 200, body: bytes = b"") -> Reply:
+    """Return a signed reply."""
+    return Reply(status, (), body, b"signature")
+
+
+class Finish(NamedTuple):
+    """How a scripted call ends, `after_ms` its start; `is_sent` is false for one not connected."""
+
+    after_ms: float
+    result: Reply | CallFailure
+    is_sent: bool = True
+
+
+class World:
+    """Upstreams that answer by a script, and one instance's decisions, in virtual time.
+
+    `script` gets the call and the time and returns how the call ends, or None for never.
+    """
+
+    def __init__(
+        self,
+        upstreams: list[Upstream],
+        script: Callable[[Call, float], Finish | None],
+        instances: int = 9,
+        limits: ExtraLoadLimits = LIMITS,
+        services: dict[str, ServiceLimits] | None = None,
+    ) -> None:
+        self.now_ms = 100_000.0
+        self.registry = Registry()
+        for upstream in upstreams:
+            self.registry.put(upstream)
+        known = services or {}
+        random = RandomSource(1)
+        slow_start = SlowStart(ColdLimits(1.5, 5.0), "i0")
+        self.selector = Selector(
+            self.registry,
+            slow_start,
+            lambda name: known.get(name, ServiceLimits(name, 26, 3_000.0, 0.0)),
+            random.random,
+        )
+        self.selector.set_instances(instances)
+        # The slack is earned within a window of the start.
+        self.extra_load = ExtraLoad(limits, self.now_ms - limits.window_ms)
+        self.extra_load.set_instances(instances)
+        self.tools = Tools(self.selector, self.extra_load, Latencies(), itertools.count(1))
+        self.calls: list[tuple[float, Call]] = []
+        self.cancelled: list[Call] = []
+        self._script = script
+        self._events: list[tuple[float, int, Exchange, Call, Finish]] = []
+        self._order = itertools.count()
+        self._open: set[int] = set()
+
+    def run(self, route: Route, deadline_ms: float = 1_000.0) -> tuple[Outcome, float]:
+        """Run one request alone; return its outcome and how long it took."""
+        exchange = self.begin(route, deadline_ms)
+        started_ms = self.now_ms
+        while exchange.outcome is None:
+            self.step(exchange)
+        took_ms = self.now_ms - started_ms
+        self._apply(exchange, exchange.cancel(self.now_ms))
+        return exchange.outcome, took_ms
+
+    def begin(self, route: Route, deadline_ms: float = 1_000.0) -> Exchange:
+        """Start a request."""
+        services = route.shards or (route.targets[0].service,)
+        exchange = Exchange(route, services, self.now_ms, self.now_ms + deadline_ms, self.tools)
+        self._apply(exchange, exchange.start(self.now_ms))
+        return exchange
+
+    def step(self, exchange: Exchange) -> None:
+        """Go on to the next event: the end of a call, or the time the exchange waits for."""
+        due_ms = exchange.next_time_ms(self.now_ms)
+        if self._events and self._events[0][0] <= due_ms:
+            at_ms, _, owner, call, finish = heapq.heappop(self._events)
+            self.now_ms = max(self.now_ms, at_ms)
+            if call.id not in self._open:
+                return
+            self._open.discard(call.id)
+            if isinstance(finish.result, Reply):
+                self._apply(owner, owner.handle_reply(call, finish.result, self.now_ms))
+            else:
+                self._apply(owner, owner.handle_failure(call, finish.result, self.now_ms))
+            return
+        self.now_ms = max(self.now_ms, due_ms)
+        self._apply(exchange, exchange.handle_time(self.now_ms))
+
+    def _apply(self, exchange: Exchange, actions: list) -> None:
+        for action in actions:
+            if isinstance(action, Cancel):
+                self.cancelled.append(action.call)
+                self._open.discard(action.call.id)
+            elif isinstance(action, Send):
+                self._send(exchange, action.call)
+
+    def _send(self, exchange: Exchange, call: Call) -> None:
+        self.calls.append((self.now_ms, call))
+        self._open.add(call.id)
+        finish = self._script(call, self.now_ms)
+        if finish is None or finish.is_sent:
+            exchange.note_sent(call)
+        if finish is not None:
+            event = (self.now_ms + finish.after_ms, next(self._order), exchange, call, finish)
+            heapq.heappush(self._events, event)
+
+
+def fail(fault: Fault, after_ms: float = 5.0, status: int = 500) -> Finish:
+    """Return the end of a call with a fault."""
+    reply = make_reply(status) if fault is Fault.ERROR else None
+    return Finish(after_ms, CallFailure(fault, reply), fault is not Fault.UNREACHABLE)
+
+
+def succeed(after_ms: float = 10.0, body: bytes = b"") -> Finish:
+    """Return the end of a call with a good answer."""
+    return Finish(after_ms, make_reply(200, body))
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,215 @@
+"""One request over its upstreams, in virtual time: repeats, hedges, partial answers, refusals."""
+
+from itertools import pairwise
+
+import pytest
+from exchanges import (
+    World,
+    fail,
+    make_route,
+    make_single_route,
+    make_upstream,
+    succeed,
+)
+
+from citronpaddle.policy.exchange import Answered, Failed, Fault, Refused
+from citronpaddle.policy.extraload import ExtraLoadLimits
+
+PAIR = [make_upstream("a0"), make_upstream("b0")]
+SHARDS = [*PAIR, make_upstream("a1", "s1"), make_upstream("b1", "s1")]
+
+
+def test_every_shard_is_called_once_on_a_calm_day():
+    """Guards against calls beyond one per shard when all answer in time."""
+    world = World(SHARDS, lambda call, now_ms: succeed())
+    outcome, took_ms = world.run(make_route())
+    assert isinstance(outcome, Answered) and outcome.missing == 0 and len(outcome.replies) == 2
+    assert sorted(call.upstream.service for _, call in world.calls) == ["s0", "s1"]
+    assert took_ms == pytest.approx(10.0)
+
+
+def test_unsafe_request_is_not_sent_again_when_it_may_have_run():
+    """Guards against TWICE: a broken connection says nothing about the run."""
+    world = World(PAIR, lambda call, now_ms: fail(Fault.BROKEN))
+    outcome, _ = world.run(make_single_route(is_idempotent=False))
+    assert isinstance(outcome, Failed)
+    assert len(world.calls) == 1
+
+
+@pytest.mark.parametrize("fault", [Fault.REJECTED, Fault.MISDIRECTED, Fault.UNREACHABLE])
+def test_unsafe_request_is_sent_again_when_it_has_not_run(fault):
+    """Guards against giving up on a request that surely has not run."""
+
+    def script(call, now_ms):
+        return fail(fault) if len(world.calls) == 1 else succeed()
+
+    world = World(PAIR, script)
+    outcome, _ = world.run(make_single_route(is_idempotent=False))
+    assert isinstance(outcome, Answered)
+    assert len({call.upstream.id for _, call in world.calls}) == 2
+
+
+def test_unsafe_request_is_refused_only_if_no_call_may_have_run():
+    """Guards against REFUSED: rejected first, then broken, must not be called 'not run'."""
+
+    def script(call, now_ms):
+        return fail(Fault.REJECTED if len(world.calls) == 1 else Fault.BROKEN)
+
+    world = World(PAIR, script)
+    outcome, _ = world.run(make_single_route(is_idempotent=False))
+    assert isinstance(outcome, Failed)
+
+
+def test_rejected_by_all_is_refused_with_a_time_to_come_back():
+    """Guards against a false 502 for a request that has not run."""
+    world = World(PAIR, lambda call, now_ms: fail(Fault.REJECTED))
+    outcome, _ = world.run(make_single_route(is_idempotent=False))
+    assert isinstance(outcome, Refused) and outcome.retry_ms > 0
+
+
+def test_unsafe_request_is_never_hedged():
+    """Guards against TWICE by a second copy of a slow call."""
+    world = World(PAIR, lambda call, now_ms: succeed(900.0))
+    outcome, _ = world.run(make_single_route(is_idempotent=False))
+    assert isinstance(outcome, Answered)
+    assert len(world.calls) == 1
+
+
+def test_unsafe_request_moves_on_from_an_upstream_that_does_not_connect():
+    """Guards against waiting for a connection to a dark upstream; nothing has left yet."""
+
+    def script(call, now_ms):
+        return fail(Fault.UNREACHABLE, 900.0) if len(world.calls) == 1 else succeed()
+
+    world = World(PAIR, script)
+    outcome, took_ms = world.run(make_single_route(is_idempotent=False, objective_ms=500.0))
+    assert isinstance(outcome, Answered)
+    assert took_ms < 100.0
+    assert len(world.cancelled) == 1
+
+
+def test_paused_upstream_is_hedged_within_the_objective():
+    """Load: two shards, one of them paused for 150 ms. Guards against answers late by a pause."""
+
+    def script(call, now_ms):
+        first = sum(1 for _, other in world.calls if other.part == call.part) == 1
+        return succeed(150.0 if first and call.part == 0 else 10.0)
+
+    world = World(SHARDS, script)
+    outcome, took_ms = world.run(make_route())
+    assert outcome.missing == 0
+    assert took_ms < 100.0
+    assert len(world.calls) == 3
+
+
+def test_hedge_needs_budget():
+    """Guards against BUDGET: without a budget a late call is not sent again."""
+    world = World(SHARDS, lambda call, now_ms: succeed(80.0), limits=ExtraLoadLimits(0.0, 0.0, 1e4))
+    world.run(make_route())
+    assert len(world.calls) == 2
+
+
+def test_no_shard_sees_more_upstreams_than_allowed():
+    """Guards against BUDGET: no more upstreams than `max_upstreams`, whatever fails."""
+    upstreams = [make_upstream(f"u{number}") for number in range(6)]
+    world = World(upstreams, lambda call, now_ms: fail(Fault.ERROR))
+    world.run(make_single_route(max_upstreams=2))
+    assert len({call.upstream.id for _, call in world.calls}) == 2
+
+
+def test_partial_answer_when_the_objective_is_near():
+    """Load: one of two shards is silent. Guards against a late answer for want of one part."""
+
+    def script(call, now_ms):
+        return succeed() if call.upstream.service == "s0" else None
+
+    world = World(SHARDS, script)
+    outcome, took_ms = world.run(make_route())
+    assert isinstance(outcome, Answered) and outcome.missing == 1
+    assert took_ms < 100.0
+
+
+def test_too_few_parts_wait_until_the_time_out():
+    """Guards against an answer below the least share of shards, and past the route's time-out."""
+
+    def script(call, now_ms):
+        return succeed() if call.upstream.service == "s0" else None
+
+    world = World(SHARDS, script)
+    outcome, took_ms = world.run(make_route(min_coverage=0.9))
+    assert isinstance(outcome, Failed) and outcome.is_late
+    assert 900.0 < took_ms <= 1_000.0
+
+
+def test_least_share_is_exact_for_decimal_fractions():
+    """Guards against refusing 9 of 10 parts for a least share of 0.9."""
+    shards = tuple(f"s{number}" for number in range(10))
+    upstreams = [make_upstream(f"u{name}", name) for name in shards]
+
+    def script(call, now_ms):
+        return succeed() if call.upstream.service != "s9" else fail(Fault.ERROR)
+
+    world = World(upstreams, script)
+    outcome, _ = world.run(make_route(shards=shards, min_coverage=0.9))
+    assert isinstance(outcome, Answered) and outcome.missing == 1
+
+
+def test_request_without_any_upstream_is_refused_at_once():
+    """Guards against holding a request that surely can't be served."""
+    world = World([], lambda call, now_ms: None)
+    outcome, took_ms = world.run(make_single_route())
+    assert isinstance(outcome, Refused) and took_ms == 0.0
+
+
+def test_too_few_listed_shards_are_refused_at_once():
+    """Guards against holding a query whose least share can't be reached."""
+    world = World(PAIR, lambda call, now_ms: succeed())
+    outcome, took_ms = world.run(make_route(min_coverage=0.9))
+    assert isinstance(outcome, Refused) and took_ms == 0.0
+    assert not world.calls
+
+
+def test_own_failure_of_an_upstream_is_passed_on():
+    """Guards against hiding an upstream's answer behind one of our own."""
+    world = World(PAIR, lambda call, now_ms: fail(Fault.ERROR, status=500))
+    outcome, _ = world.run(make_single_route())
+    assert isinstance(outcome, Answered) and outcome.replies[0].status == 500
+
+
+def test_caller_that_leaves_ends_all_calls():
+    """Guards against GONE: upstreams at work for a caller that has left."""
+    world = World(SHARDS, lambda call, now_ms: None)
+    exchange = world.begin(make_route())
+    assert len(exchange.cancel(world.now_ms)) == 2
+    assert not exchange.open_calls
+
+
+def test_slow_upstream_is_avoided_and_tried_again_later():
+    """Load: 60 requests 50 ms apart to two upstreams, one nine times slower for the first half.
+
+    Guards against late answers from an upstream known to be slow, which may get a quarter of the
+    calls at most until it is known well, and against forgetting it.
+    """
+
+    def script(call, now_ms):
+        is_slow = call.upstream.id == "a0" and now_ms < 101_500.0
+        return succeed(180.0 if is_slow else 20.0)
+
+    world = World(PAIR, script)
+    slow_calls = []
+    for _ in range(200):
+        started = len(world.calls)
+        world.run(make_single_route())
+        slow_calls.append(any(call.upstream.id == "a0" for _, call in world.calls[started:]))
+        world.now_ms += 50.0
+    assert sum(slow_calls[:30]) <= 30 // 4
+    assert sum(slow_calls[-60:]) >= 10
+
+
+def test_rejecting_upstreams_are_not_hammered():
+    """Load: both upstreams of a service reject everything. Guards against repeats without pause."""
+    world = World(PAIR, lambda call, now_ms: fail(Fault.REJECTED, 1.0))
+    world.run(make_single_route())
+    times = [at_ms for at_ms, _ in world.calls]
+    assert len(times) <= 5
+    assert all(later - earlier >= 10.0 for earlier, later in list(pairwise(times))[1:])
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,85 @@
+"""The list of upstreams: leaving, forged, stale and lapsed entries, domains taken out."""
+
+from exchanges import make_upstream
+
+from citronpaddle.policy.registry import RETURN_GRACE_MS, Registry
+
+
+def list_ids(registry, service="s0"):
+    return [upstream.id for upstream in registry.list_available(service)]
+
+
+def test_leaving_upstream_gets_no_new_requests():
+    """Guards against DRAIN."""
+    registry = Registry()
+    registry.put(make_upstream("a"))
+    registry.put(make_upstream("a", is_leaving=True, sequence=2))
+    assert list_ids(registry) == []
+
+
+def test_stale_entry_does_not_bring_back_an_older_start():
+    """Guards against an entry of a former start that is written late."""
+    registry = Registry()
+    registry.put(make_upstream("a", born_ms=200, sequence=1, is_leaving=True))
+    assert not registry.put(make_upstream("a", born_ms=100, sequence=90))
+    assert list_ids(registry) == []
+
+
+def test_new_start_under_the_same_id_counts_from_the_start_again():
+    """Guards against ignoring an upstream that has started anew under its id."""
+    registry = Registry()
+    registry.put(make_upstream("a", born_ms=100, sequence=90, is_leaving=True))
+    assert registry.put(make_upstream("a", born_ms=200, sequence=1))
+    assert list_ids(registry) == ["a"]
+
+
+def test_upstream_that_changes_its_service_leaves_the_old_one():
+    """Guards against ROUTE by a cached list."""
+    registry = Registry()
+    registry.put(make_upstream("a"))
+    assert list_ids(registry) == ["a"]
+    registry.put(make_upstream("a", "s1", sequence=2))
+    assert list_ids(registry) == [] and list_ids(registry, "s1") == ["a"]
+
+
+def test_lapsed_entries_are_kept_until_they_may_be_back():
+    """Guards against losing all upstreams when entries expired with the store."""
+    registry = Registry()
+    registry.put(make_upstream("a"))
+    registry.note_store_return(1_000.0)
+    assert not registry.remove("a", 1_100.0)
+    assert list_ids(registry) == ["a"]
+    assert registry.expire(1_000.0 + RETURN_GRACE_MS - 1) == []
+    assert registry.expire(1_000.0 + RETURN_GRACE_MS) == ["a"]
+    assert list_ids(registry) == []
+
+
+def test_entry_that_is_back_in_time_is_kept():
+    """Guards against dropping an upstream whose entry has returned."""
+    registry = Registry()
+    registry.put(make_upstream("a"))
+    registry.note_store_return(1_000.0)
+    registry.remove("a", 1_100.0)
+    registry.put(make_upstream("a", sequence=2))
+    assert registry.expire(9_000.0) == []
+
+
+def test_removal_on_a_calm_store_takes_effect_at_once():
+    """Guards against DRAIN: an upstream may leave without a word but the end of its entry."""
+    registry = Registry()
+    registry.put(make_upstream("a"))
+    assert registry.remove("a", 50_000.0)
+    assert list_ids(registry) == []
+
+
+def test_domain_that_is_out_gets_nothing_and_comes_back_cold():
+    """Guards against EVAC, and against a rush to upstreams that had no load for a while."""
+    registry = Registry()
+    registry.put(make_upstream("a"))
+    registry.put(make_upstream("b", domain="b"))
+    assert registry.set_out_domains(frozenset({"a"})) == frozenset()
+    assert list_ids(registry) == ["b"]
+    assert registry.set_out_domains(frozenset()) == frozenset({"a"})
+    registry.mark_cold("a", 4_000.0)
+    assert registry.get("a").cold_until_ms == 4_000.0
+    assert set(list_ids(registry)) == {"a", "b"}
