--- a/citronpaddle/adapters/httpserver.py
+++ b/citronpaddle/adapters/httpserver.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from abc import ABC, abstractmethod
 from collections import deque
 from typing import NamedTuple
@@ -26,6 +28,10 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+# Where the kernel's description of a connection holds the smoothed round-trip time in us.
+_ROUND_TRIP = struct.Struct("I")
+_ROUND_TRIP_OFFSET = 68
+_TCP_INFO_BYTES = 104
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Header fields that concern one connection only, and those that are set anew for each.
 HOP_BY_HOP = frozenset(
@@ -109,6 +115,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[tuple[HttpRequest, bool]] = deque()
         self._keeps_alive = True
+        self._is_first = True
         self._has_closed = False
         self._reading_since_ms: float | None = None
         self._idle_since_ms = clock.now_ms()
@@ -205,6 +212,7 @@
         if not self.is_busy or self._has_closed:
             return
         self.is_busy = False
+        self._is_first = False
         self._idle_since_ms = self._clock.now_ms()
         closes = not self._keeps_alive or self._connections.is_closing
         self._transport.write(_format_answer(answer, closes))
@@ -219,6 +227,21 @@
         if not self._waiting and not self._has_closed:
             self._transport.resume_reading()
 
+    def measure_path_ms(self) -> float | None:
+        """Return how long this request and its answer are on the way, or None if unknown.
+
+        The caller's time starts before it connects, so the first request has one round trip more.
+        """
+        sock = self._transport.get_extra_info("socket")
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+        except OSError:
+            return None
+        if len(info) < _ROUND_TRIP_OFFSET + _ROUND_TRIP.size:
+            return None
+        round_trip_ms = _ROUND_TRIP.unpack_from(info, _ROUND_TRIP_OFFSET)[0] / 1_000
+        return round_trip_ms * (2 if self._is_first else 1)
+
     def check_times(self, now_ms: float) -> None:
         """Close the connection if its header or its next request is overdue."""
         limits = self._service.get_limits()
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -7,8 +7,9 @@
 import asyncio
 import json
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any, NamedTuple
 
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
@@ -21,26 +22,37 @@
     Lease,
     LeaseEnded,
     StateStore,
+    StoreChanges,
     StoreFailure,
     StoreItem,
     StoreView,
 )
 
 MEMBER_PREFIX = "citronpaddle/instances/"
-# One watch call may wait this long; the store's limit is 30 s.
-WATCH_WAIT_MS = 25_000
-# Every watch call has its price: changes that follow each other closely share one. The closest
-# bounds, 3 s for a configuration or a leaving upstream, leave room for this delay.
-WATCH_INTERVAL_MS = 900.0
-FIRST_RETRY_MS = 150.0
-MAX_RETRY_MS = 1_000.0
-# An instance that is gone is missed after this time at most, and a renewal costs little.
-LEASE_MS = 4_000.0
-RENEW_SHARE = 0.4
 # Pauses of all instances after a failure differ by this share, so that they don't call at once.
 RETRY_SPREAD = 0.5
 
 
+class FleetTimes(NamedTuple):
+    """How often the store is called, in ms."""
+
+    # One watch call may wait this long; the store's limit is 30 s.
+    watch_wait_ms: int = 25_000
+    # Every watch call has its price: changes that follow each other closely share one. The closest
+    # bounds, 3 s for a configuration or a leaving upstream, leave room for this delay.
+    watch_interval_ms: float = 900.0
+    first_retry_ms: float = 150.0
+    max_retry_ms: float = 1_000.0
+    # An instance that is gone is missed after this time at most, and a renewal costs little.
+    lease_ms: float = 4_000.0
+    # The part of a lease after which it is renewed: one renewal may fail.
+    renew_share: float = 0.4
+    # How often the store's revision is compared with what the watch has brought, and how long the
+    # watch may take to bring it. A read that may be stale costs a tenth of a call.
+    check_ms: float = 4_000.0
+    check_patience_ms: float = 1_500.0
+
+
 class StateDecoder(ABC):
     """Decodes the platform's documents; a document that can't be read gives a reason instead."""
 
@@ -89,7 +101,7 @@
         log: EventLog,
         draw: Callable[[], float],
         on_change: Callable[[], None],
-        min_lease_ms: float,
+        times: FleetTimes,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -99,7 +111,9 @@
         self._log = log
         self._draw = draw
         self._on_change = on_change
-        self._lease_ms = max(LEASE_MS, min_lease_ms)
+        self._times = times
+        # Set when the watch in progress may never answer.
+        self._is_watch_suspect = asyncio.Event()
         self._lease: Lease | None = None
         self._is_leaving = False
         self._revisions: dict[str, int] = {}
@@ -111,7 +125,8 @@
     def start(self) -> None:
         """Start following the store."""
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._follow()), loop.create_task(self._register())]
+        work = (self._follow, self._register, self._check_watch)
+        self._tasks = [loop.create_task(self._keep_running(part)) for part in work]
 
     async def leave(self) -> None:
         """Take this instance out of the list of instances; the store is asked once."""
@@ -134,8 +149,20 @@
             self._note_gone(upstream_id, "missing after the store's return")
         self._state.members.expire(now_ms)
 
+    async def _keep_running(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run `work`, and start it again after an error that nobody has foreseen."""
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:
+                self._log.write(
+                    Event.INTERNAL_ERROR, "fleet", reason=repr(error), work=work.__name__
+                )
+                await asyncio.sleep(self._times.max_retry_ms / 1_000)
+
     async def _follow(self) -> None:
-        retry_ms = FIRST_RETRY_MS
+        retry_ms = self._times.first_retry_ms
         while True:
             view = await self._store.read_all("")
             if isinstance(view, StoreFailure):
@@ -143,15 +170,15 @@
                 continue
             self._note_answer()
             self._take_view(view)
-            retry_ms = FIRST_RETRY_MS
+            retry_ms = self._times.first_retry_ms
             await self._watch(view.revision)
 
     async def _watch(self, after: int) -> None:
         """Follow changes until the store has forgotten some."""
-        retry_ms = FIRST_RETRY_MS
+        retry_ms = self._times.first_retry_ms
         while True:
             called_ms = self._clock.now_ms()
-            changes = await self._store.watch("", after, WATCH_WAIT_MS)
+            changes = await self._call_watch(after)
             if isinstance(changes, HistoryLost):
                 self._log.write(Event.HISTORY_LOST, "fleet", after_revision=after)
                 return
@@ -159,23 +186,49 @@
                 retry_ms = await self._pause(changes, retry_ms)
                 continue
             self._note_answer()
-            retry_ms = FIRST_RETRY_MS
+            retry_ms = self._times.first_retry_ms
             for item in changes.items:
                 self._take(item)
             after = max(after, changes.revision)
             self._state.revision = after
             if changes.items:
                 self._on_change()
-            left_ms = WATCH_INTERVAL_MS - (self._clock.now_ms() - called_ms)
+            left_ms = self._times.watch_interval_ms - (self._clock.now_ms() - called_ms)
             if left_ms > 0:
                 await asyncio.sleep(left_ms / 1_000)
 
+    async def _call_watch(self, after: int) -> StoreChanges | HistoryLost | StoreFailure:
+        """Call the watch, and give it up when there is reason to think that it never answers."""
+        self._is_watch_suspect.clear()
+        watch = asyncio.ensure_future(self._store.watch("", after, self._times.watch_wait_ms))
+        suspect = asyncio.ensure_future(self._is_watch_suspect.wait())
+        try:
+            await asyncio.wait({watch, suspect}, return_when=asyncio.FIRST_COMPLETED)
+            return watch.result() if watch.done() else StoreFailure("the watch is silent")
+        finally:
+            watch.cancel()
+            suspect.cancel()
+
+    async def _check_watch(self) -> None:
+        """Compare the store's revision with the watch's now and then."""
+        while True:
+            await asyncio.sleep(self._times.check_ms / 1_000)
+            revision = await self._store.read_revision()
+            if isinstance(revision, StoreFailure):
+                continue
+            await asyncio.sleep(self._times.check_patience_ms / 1_000)
+            if self._state.revision < revision and self._lost_since_ms is None:
+                self._log.write(
+                    Event.WATCH_SILENT, "fleet", known=self._state.revision, store=revision
+                )
+                self._is_watch_suspect.set()
+
     async def _pause(self, failure: StoreFailure, retry_ms: float) -> float:
         """Wait before the next call; return how long to wait after a further failure."""
         self._note_lost(failure)
         spread = 1.0 + RETRY_SPREAD * self._draw()
         await asyncio.sleep(retry_ms * spread / 1_000)
-        return min(MAX_RETRY_MS, 2 * retry_ms)
+        return min(self._times.max_retry_ms, 2 * retry_ms)
 
     def _note_lost(self, failure: StoreFailure) -> None:
         if self._lost_since_ms is None:
@@ -188,6 +241,8 @@
         if self._lost_since_ms is not None:
             lost_ms = now_ms - self._lost_since_ms
             self._lost_since_ms = None
+            # A watch that was sent while the store was away may have been swallowed.
+            self._is_watch_suspect.set()
             self._state.registry.note_store_return(now_ms)
             self._state.members.note_store_return(now_ms)
             self._log.write(Event.STORE_REGAINED, "fleet", lost_ms=round(lost_ms))
@@ -309,24 +364,25 @@
 
     async def _register(self) -> None:
         """Keep this instance in the list of instances."""
-        retry_ms = FIRST_RETRY_MS
+        retry_ms = self._times.first_retry_ms
         while not self._is_leaving:
             failure = await (self._enter() if self._lease is None else self._renew())
             if failure is not None:
                 retry_ms = await self._pause(failure, retry_ms)
                 continue
-            retry_ms = FIRST_RETRY_MS
+            retry_ms = self._times.first_retry_ms
             if self._lease is None:
                 continue
+            self._note_answer()
             self._entry_lost.clear()
             try:
-                async with asyncio.timeout(self._lease.ttl_ms * RENEW_SHARE / 1_000):
+                async with asyncio.timeout(self._lease.ttl_ms * self._times.renew_share / 1_000):
                     await self._entry_lost.wait()
             except TimeoutError:
                 continue
 
     async def _enter(self) -> StoreFailure | None:
-        lease = await self._store.grant_lease(self._lease_ms)
+        lease = await self._store.grant_lease(self._times.lease_ms)
         if isinstance(lease, StoreFailure):
             return lease
         own = self._state.members.own
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -51,7 +51,10 @@
 
 
 class RoutedRequest(NamedTuple):
-    """A caller's request with its route; `content` is what the codec made of it."""
+    """A caller's request with its route; `content` is what the codec made of it.
+
+    `path_ms` is how long the request and its answer are on the way between caller and here.
+    """
 
     id: str
     route: Route
@@ -60,6 +63,7 @@
     end_ms: float
     content: Any
     is_head: bool = False
+    path_ms: float = 0.0
 
 
 class Run:
@@ -70,7 +74,12 @@
     ) -> None:
         self.request = request
         self.exchange = Exchange(
-            request.route, request.services, request.received_ms, request.end_ms, forwarder.tools
+            request.route,
+            request.services,
+            request.received_ms,
+            request.end_ms,
+            forwarder.tools,
+            request.path_ms,
         )
         self.reasons: Counter[str] = Counter()
         self._forwarder = forwarder
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -16,7 +16,7 @@
     Service,
 )
 from .clock import Clock
-from .fleet import Fleet, FleetState, StateDecoder
+from .fleet import Fleet, FleetState, FleetTimes, StateDecoder
 from .forwarding import CallCodec, Forwarder, RoutedRequest, Run
 from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation
 from .policy.exchange import Answered, Call, CallFailure, Latencies, Outcome, Tools
@@ -37,6 +37,8 @@
 # Without a configuration, a caller is told to come back after this time.
 RETRY_UNREADY_MS = 500.0
 BACKLOG = 512
+# The way to a caller and back where the kernel does not tell: two round trips within a domain.
+UNKNOWN_PATH_MS = 10.0
 # On a stop, how often it is checked whether callers have gone, and the time for the last answer.
 STOP_CHECK_MS = 50.0
 LAST_BYTES_MS = 50.0
@@ -150,7 +152,7 @@
             log,
             random.random,
             self._apply_change,
-            settings.min_lease_ms,
+            FleetTimes(lease_ms=max(FleetTimes().lease_ms, settings.min_lease_ms)),
         )
 
     @property
@@ -232,6 +234,7 @@
         if route is None:
             self._deny(connection, admitted.id, HttpAnswer(404, (), b"no such route"), "no_route")
             return None
+        path_ms = connection.measure_path_ms()
         deadline_ms = admitted.deadline_ms or route.timeout_ms
         routed = RoutedRequest(
             admitted.id,
@@ -241,6 +244,7 @@
             request.received_ms + deadline_ms,
             admitted.content,
             admitted.is_head,
+            UNKNOWN_PATH_MS if path_ms is None else path_ms,
         )
         version = catalog.version
         run: Run | None = None
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -58,6 +58,14 @@
                 return StoreView(tuple(items), revision)
             after = page[-1].key
 
+    async def read_revision(self) -> int | StoreFailure:
+        # A page without items that may be stale: a tenth of a call, and hardly any bytes.
+        answer = await self._call("GET", f"{_ROOT}/kv-range?prefix=%00&stale_ok=1")
+        if isinstance(answer, StoreFailure):
+            return answer
+        revision = answer[1].get("as_of") if isinstance(answer[1], dict) else None
+        return revision if isinstance(revision, int) else StoreFailure("unreadable page")
+
     async def watch(
         self, prefix: str, after: int, wait_ms: int
     ) -> StoreChanges | HistoryLost | StoreFailure:
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -17,10 +17,9 @@
 
 # Calls of one part, rejected ones included; more would keep an upstream in trouble busy.
 MAX_CALLS = 5
-# An answer has to get back to the caller: the part of the objective kept for the way, and at least
-# this much for a merge and for a link of a few ms.
-ANSWER_MARGIN_SHARE = 0.06
-ANSWER_MARGIN_MS = 8.0
+# The part of the objective kept for the merge and for delays on the way back, and the least of it.
+ANSWER_MARGIN_SHARE = 0.03
+ANSWER_MARGIN_MS = 5.0
 # The route's time-out is kept with this margin for the answer.
 TIMEOUT_MARGIN_MS = 15.0
 # Before there are samples, a call counts as late after this share of the objective.
@@ -198,15 +197,19 @@
         received_ms: float,
         end_ms: float,
         tools: Tools,
+        path_ms: float = 0.0,
     ) -> None:
-        """Take the services to ask, one part each, and the caller's deadline `end_ms`."""
+        """Take the services to ask, one part each, and the caller's deadline `end_ms`.
+
+        `path_ms` is how long the request and its answer are on the way between caller and here.
+        """
         self.route = route
         self.received_ms = received_ms
         self.end_ms = min(end_ms, received_ms + route.timeout_ms) - TIMEOUT_MARGIN_MS
         self.outcome: Outcome | None = None
         self._is_gather = bool(route.shards)
         margin_ms = max(ANSWER_MARGIN_MS, ANSWER_MARGIN_SHARE * route.objective_ms)
-        self.soft_end_ms = received_ms + route.objective_ms - margin_ms
+        self.soft_end_ms = received_ms + route.objective_ms - path_ms - margin_ms
         self._tools = tools
         self._parts = [_Part(service) for service in services]
         self._waiting = len(self._parts)
--- a/citronpaddle/policy/members.py
+++ b/citronpaddle/policy/members.py
@@ -7,6 +7,8 @@
 
 # After the store was away, instances need about this long to renew their entries.
 RETURN_GRACE_MS = 4_000.0
+# A caller leaves out an address that has failed, so it needs another one at least.
+MIN_NEAR = 2
 # Callers are told at most this many addresses.
 MAX_ADDRESSES = 64
 # The number of instances shrinks only this long after one has left: it may be back at once.
@@ -79,11 +81,17 @@
         return tuple(sorted({self._own.name, *self._seen_ms}))
 
     def list_addresses(self, domain: str, is_own_open: bool) -> list[str]:
-        """Return the addresses for a caller in `domain`, itself included while `is_own_open`."""
-        members = {name: member for name, member in self._members.items()}
+        """Return the addresses for a caller in `domain`, this one's included if `is_own_open`.
+
+        Callers get the instances of their own domain alone: the way to another one and back takes
+        a good part of a short objective. With too few of them the others follow.
+        """
+        members = dict(self._members)
         if is_own_open:
             members[self._own.name] = self._own
         elif len(members) > 1:
             members.pop(self._own.name, None)
-        near_first = sorted(members.values(), key=lambda member: (member.domain != domain, member))
-        return [member.address for member in near_first[:MAX_ADDRESSES]]
+        near = sorted(member for member in members.values() if member.domain == domain)
+        far = sorted(member for member in members.values() if member.domain != domain)
+        chosen = near if len(near) >= MIN_NEAR else near + far
+        return [member.address for member in chosen[:MAX_ADDRESSES]]
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -60,6 +60,10 @@
     async def read_all(self, prefix: str) -> StoreView | StoreFailure:
         """Return the newest items under `prefix`, page by page."""
 
+    @abstractmethod
+    async def read_revision(self) -> int | StoreFailure:
+        """Return a revision that the store has reached, at the lowest price."""
+
     @abstractmethod
     async def watch(
         self, prefix: str, after: int, wait_ms: int
--- /dev/null
+++ b/tests/fakestore.py
@@ -0,0 +1,121 @@
+"""A store in memory for tests of what follows it, with faults that a test can switch on."""
+
+import asyncio
+
+from citronpaddle.statestore import (
+    HistoryLost,
+    Lease,
+    LeaseEnded,
+    StateStore,
+    StoreChanges,
+    StoreFailure,
+    StoreItem,
+    StoreView,
+)
+
+
+class FakeStore(StateStore):
+    """One store for any number of instances.
+
+    While `is_down`, calls fail. The next `swallow_watches` watches wait for ever. `log` holds the
+    name of every call.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, StoreItem] = {}
+        self.history: list[StoreItem] = []
+        self.revision = 1
+        self.oldest = 0
+        self.is_down = False
+        self.swallow_watches = 0
+        self.log: list[str] = []
+        self._leases: dict[int, set[str]] = {}
+        self._changed = asyncio.Event()
+
+    def write(self, key: str, value: bytes) -> None:
+        """Write a key as the operator or an upstream does."""
+        self.revision += 1
+        item = StoreItem(key, value, self.revision)
+        self.items[key] = item
+        self._note(item)
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        self.revision += 1
+        if self.items.pop(key, None) is not None:
+            self._note(StoreItem(key, None, self.revision))
+
+    def forget_history(self) -> None:
+        """Drop all changes up to now."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    def end_leases(self) -> None:
+        """Let all leases run out."""
+        leases, self._leases = self._leases, {}
+        for keys in leases.values():
+            for key in keys:
+                self.delete(key)
+
+    async def read_all(self, prefix: str) -> StoreView | StoreFailure:
+        self.log.append("read_all")
+        if self.is_down:
+            return StoreFailure("down")
+        return StoreView(tuple(self.items.values()), self.revision)
+
+    async def read_revision(self) -> int | StoreFailure:
+        self.log.append("read_revision")
+        return StoreFailure("down") if self.is_down else self.revision
+
+    async def watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> StoreChanges | HistoryLost | StoreFailure:
+        self.log.append("watch")
+        if self.swallow_watches > 0:
+            self.swallow_watches -= 1
+            await asyncio.Event().wait()
+        if self.is_down:
+            return StoreFailure("down")
+        if after < self.oldest:
+            return HistoryLost()
+        while True:
+            found = tuple(item for item in self.history if item.revision > after)
+            if found or self.is_down:
+                break
+            self._changed.clear()
+            await self._changed.wait()
+        return StoreFailure("down") if self.is_down else StoreChanges(found, self.revision)
+
+    async def grant_lease(self, ttl_ms: float) -> Lease | StoreFailure:
+        self.log.append("grant_lease")
+        if self.is_down:
+            return StoreFailure("down")
+        lease = Lease(1_000 + len(self.log), ttl_ms)
+        self._leases[lease.id] = set()
+        return lease
+
+    async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
+        self.log.append("renew_lease")
+        if self.is_down:
+            return StoreFailure("down")
+        return lease if lease.id in self._leases else LeaseEnded()
+
+    async def end_lease(self, lease: Lease) -> StoreFailure | None:
+        self.log.append("end_lease")
+        for key in self._leases.pop(lease.id, ()):
+            self.delete(key)
+        return None
+
+    async def put(self, key: str, value: bytes, lease: Lease) -> LeaseEnded | StoreFailure | None:
+        self.log.append("put")
+        if self.is_down:
+            return StoreFailure("down")
+        if lease.id not in self._leases:
+            return LeaseEnded()
+        self._leases[lease.id].add(key)
+        self.write(key, value)
+        return None
+
+    def _note(self, item: StoreItem) -> None:
+        self.history.append(item)
+        self._changed.set()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -26,6 +26,16 @@
     assert members.list_addresses("b", True) == [OTHER.address, OWN.address]
 
 
+def test_callers_stay_in_their_own_domain_if_it_has_instances_enough():
+    """Guards against the way to another domain and back on most requests."""
+    members = make_members()
+    near = Member("i2", "10.0.0.3:80", "a")
+    members.put(near, 0.0)
+    assert members.list_addresses("a", True) == [OWN.address, near.address]
+    assert len(members.list_addresses("b", True)) == 3
+    assert len(members.list_addresses("unknown", True)) == 3
+
+
 def test_leaving_instance_names_itself_only_if_it_is_alone():
     """Guards against an empty answer, and against callers coming to an instance that stops."""
     members = make_members()
