--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -137,7 +137,11 @@
         self.state = FleetState(Registry(), members)
         self._slow_start = SlowStart(settings.cold, settings.name)
         self._selector = Selector(
-            self.state.registry, self._slow_start, self._find_limits, random.random
+            self.state.registry,
+            self._slow_start,
+            self._find_limits,
+            random.random,
+            settings.domain,
         )
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
         self._pool = ConnectionPool(clock)
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -11,7 +11,7 @@
 from .slowstart import SlowStart
 
 # Share of a new observation in an upstream's mean slowness and in its mean rate of failures.
-_SLOWNESS_WEIGHT = 0.4
+_SLOWNESS_WEIGHT = 0.25
 _FAILURE_WEIGHT = 0.3
 # What was seen of an upstream loses half of its force in this time, so that it is tried again.
 _HALF_LIFE_MS = 2_000.0
@@ -21,6 +21,8 @@
 _OUTSTANDING_COST = 0.5
 _FAILURE_COST = 8.0
 _COLD_COST = 0.6
+# The way to another failure domain and back; bytes between domains have a price besides.
+_FAR_COST = 0.8
 _OVERDUE_COST = 6.0
 # An upstream that refuses connections or stays silent is avoided this long, doubling each time.
 _FIRST_BLOCK_MS = 250.0
@@ -75,12 +77,14 @@
         slow_start: SlowStart,
         get_limits: Callable[[str], ServiceLimits | None],
         draw: Callable[[], float],
+        domain: str = "",
     ) -> None:
-        """Take `draw`, a source of numbers from 0 to 1 that decides between equals."""
+        """Prefer upstreams in `domain`; take `draw`, a source of numbers from 0 to 1 that decides between equals."""
         self._registry = registry
         self._slow_start = slow_start
         self._get_limits = get_limits
         self._draw = draw
+        self._domain = domain
         self._records: dict[str, UpstreamRecord] = {}
         self._usual_ms: dict[str, float] = {}
         self._instances = 1
@@ -132,6 +136,8 @@
     def _estimate(self, upstream: Upstream, now_ms: float, late_ms: float) -> tuple[float, bool]:
         record = self._records.get(upstream.id)
         cost = _COLD_COST if upstream.cold_until_ms > now_ms else 0.0
+        if upstream.domain != self._domain:
+            cost += _FAR_COST
         if record is None:
             return 1.0 + cost, True
         record.fade(now_ms)
