--- a/citronpaddle/adapters/connections.py
+++ b/citronpaddle/adapters/connections.py
@@ -6,6 +6,9 @@
 from ..clock import Clock
 from .httpclient import HttpConnection, HttpFailure, ResponseSink
 
+# Connections kept idle for each upstream; all instances together must stay within its limit, also
+# when half of them have just been replaced and their old connections still count.
+MAX_IDLE = 1
 # A new connection takes a few ms; without one after this time the upstream counts as unreachable.
 CONNECT_TIMEOUT_MS = 1_000.0
 
@@ -122,8 +125,12 @@
 
     def _note_idle(self, connection: HttpConnection) -> None:
         address = self._addresses.get(connection)
-        if address is not None:
-            self._idle.setdefault(address, []).append(connection)
+        if address is None:
+            return
+        idle = self._idle.setdefault(address, [])
+        idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle.pop(0).close()
 
     def _note_closed(self, connection: HttpConnection) -> None:
         address = self._addresses.pop(connection, None)
--- a/citronpaddle/adapters/httpclient.py
+++ b/citronpaddle/adapters/httpclient.py
@@ -116,6 +116,12 @@
         self._is_head = is_head
         self._transport.write(request)
 
+    def close(self) -> None:
+        """Close an idle connection in order."""
+        self._is_broken = True
+        if self._transport is not None:
+            self._transport.close()
+
     def abort(self) -> None:
         """Close at once; whoever waits for a response is not told."""
         self._sink = None
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -39,6 +39,8 @@
 BACKLOG = 512
 # The way to a caller and back where the kernel does not tell: two round trips within a domain.
 UNKNOWN_PATH_MS = 10.0
+# For this long after the start, upstreams may still hold connections of a predecessor.
+YOUNG_MS = 10_000.0
 # On a stop, how often it is checked whether callers have gone, and the time for the last answer.
 STOP_CHECK_MS = 50.0
 LAST_BYTES_MS = 50.0
@@ -127,6 +129,7 @@
         self._log = log
         self._codec = caller_codec
         self._is_leaving = False
+        self._started_ms = clock.now_ms()
         self._rotations: dict[str, WeightedRotation] = {}
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[asyncio.Server] = []
@@ -321,9 +324,10 @@
 
     def _share(self) -> None:
         """Share budgets and connections out among the instances known."""
-        names = self.state.members.list_recent(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        names = self.state.members.list_recent(now_ms)
         self._extra_load.set_instances(len(names))
-        self._selector.set_instances(len(names))
+        self._selector.set_instances(len(names), now_ms - self._started_ms < YOUNG_MS)
         self._slow_start.set_instances(names)
 
     def _choose_service(self, route: Route) -> str:
--- a/citronpaddle/policy/extraload.py
+++ b/citronpaddle/policy/extraload.py
@@ -40,10 +40,14 @@
 class ExtraLoad:
     """This instance's share of the budget.
 
-    The share of the slack is earned over the first window after the start: a predecessor of this
-    instance may have spent it just before.
+    Most of the slack is earned over the first window after the start: a predecessor of this
+    instance may have spent its share just before.
     """
 
+    # After a start of all instances at once, connections that upstreams still hold for the
+    # predecessors make some first calls fail, which nothing but a repeat mends.
+    START_SHARE = 0.25
+
     # The bound counts an instance's calls and requests at the upstreams, a little later than here.
     SAFETY = 0.9
     # A hedge only speeds an answer up, so it leaves this share of the budget to retries.
@@ -87,7 +91,8 @@
     def _share_slack(self, now_ms: float) -> float:
         if self._instances <= 0:
             return 0.0
-        earned = min(1.0, (now_ms - self._started_ms) / self._limits.window_ms)
+        age = (now_ms - self._started_ms) / self._limits.window_ms
+        earned = min(1.0, self.START_SHARE + (1.0 - self.START_SHARE) * age)
         return self._limits.slack * earned / self._instances
 
     def _open(self, service: str, now_ms: float) -> _Window:
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -89,9 +89,13 @@
         self._usual_ms: dict[str, float] = {}
         self._instances = 1
 
-    def set_instances(self, count: int) -> None:
-        """Share the connections of every upstream out among `count` instances."""
-        self._instances = max(1, count)
+    def set_instances(self, count: int, is_young: bool) -> None:
+        """Share the connections of every upstream out among `count` instances.
+
+        While this one `is_young`, upstreams may still hold the connections of its predecessor, so
+        it uses half of its share.
+        """
+        self._instances = max(1, count) * (2 if is_young else 1)
 
     def is_listed(self, service: str) -> bool:
         """Return whether any upstream of `service` may get requests."""
