--- a/citronpaddle/platform/entry.py
+++ b/citronpaddle/platform/entry.py
@@ -12,7 +12,7 @@
     # of each instance and a tenth of its start.
     sys.modules["ssl"] = None
 
-import asyncio  # noqa: E402
+import asyncio
 
 from ..adapters.eventlog import Event, EventLog
 from ..clock import SystemClock
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -79,7 +79,7 @@
         draw: Callable[[], float],
         domain: str = "",
     ) -> None:
-        """Prefer upstreams in `domain`; take `draw`, a source of numbers from 0 to 1 that decides between equals."""
+        """Prefer upstreams in `domain`; `draw`, numbers from 0 to 1, decides between equals."""
         self._registry = registry
         self._slow_start = slow_start
         self._get_limits = get_limits
