--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -230,6 +230,9 @@
         """Return the first calls."""
         actions: list[Action] = []
         selector = self._tools.selector
+        if now_ms >= self.end_ms:
+            self.outcome = Refused("no_time_left", RETRY_REJECTED_MS)
+            return actions
         if not self._is_gather and not selector.is_listed(self._parts[0].service):
             self.outcome = Refused("no_upstream", RETRY_UNLISTED_MS)
             return actions
@@ -316,10 +319,20 @@
                 due_ms = min(due_ms, max(self._find_hedge_time(part), now_ms + 1.0))
         return due_ms
 
+    def end_unsent(self, now_ms: float) -> list[Action]:
+        """End the calls that have not left: with the outcome nobody needs them.
+
+        After a refusal they must not leave, since the caller was told that nothing ran.
+        """
+        return self._cancel([call for call in self._calls.values() if not call.is_sent], now_ms)
+
     def cancel(self, now_ms: float) -> list[Action]:
         """End everything: the caller has left, or the losing calls have had their time."""
+        return self._cancel(self.open_calls, now_ms)
+
+    def _cancel(self, calls: list[Call], now_ms: float) -> list[Action]:
         actions: list[Action] = []
-        for call in list(self._calls.values()):
+        for call in calls:
             self._end(call)
             self._parts[call.part].doubtful += call.is_sent
             self._tools.selector.note_cancelled(
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -213,3 +213,27 @@
     times = [at_ms for at_ms, _ in world.calls]
     assert len(times) <= 5
     assert all(later - earlier >= 10.0 for earlier, later in list(pairwise(times))[1:])
+
+
+def test_request_whose_time_is_over_is_refused_and_never_sent():
+    """Guards against calls that leave after a refusal (found in the incident of trineo-busca)."""
+    world = World(SHARDS, lambda call, now_ms: succeed())
+    outcome, took_ms = world.run(make_route(), deadline_ms=10.0)
+    assert isinstance(outcome, Refused) and took_ms == 0.0
+    assert not world.calls
+
+
+@pytest.mark.parametrize("route", [make_single_route(is_idempotent=False), make_route()])
+def test_calls_that_have_not_left_end_with_the_refusal(route):
+    """Guards against REFUSED: a connection is established after the caller got "not run"."""
+    world = World(SHARDS, lambda call, now_ms: fail(Fault.UNREACHABLE, 5_000.0))
+    exchange = world.begin(route, deadline_ms=40.0)
+    while exchange.outcome is None:
+        world.step(exchange)
+    assert isinstance(exchange.outcome, Refused)
+    unsent = [call for _, call in world.calls if not call.is_sent]
+    ended = exchange.end_unsent(world.now_ms)
+    assert {action.call.id for action in ended} | {call.id for call in world.cancelled} == {
+        call.id for call in unsent
+    }
+    assert not exchange.open_calls
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -507,3 +507,30 @@
         assert len(site.world.upstreams["c"].runs) == 10
 
     play(script, ({"prefix": "/p/", "traffic_split": split},))
+
+
+def test_nothing_leaves_for_an_upstream_after_a_refusal():
+    """Guards against REFUSED: the connection is there only after the caller got "not run"."""
+
+    async def script(site):
+        opened = asyncio.Event()
+
+        async def connect_late(*arguments, **options):
+            await asyncio.sleep(0.15)
+            opened.set()
+            return await create_connection(*arguments, **options)
+
+        loop = asyncio.get_running_loop()
+        create_connection = loop.create_connection
+        caller = await site.connect()
+        loop.create_connection = connect_late
+        try:
+            caller.send(method="POST", path="/u/x", body=b"order", deadline=60)
+            status, _, _ = await caller.read()
+            await asyncio.sleep(0.6)
+        finally:
+            loop.create_connection = create_connection
+        assert status == 503
+        assert not list_runs(site)
+
+    play(script)
