--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint test unit features demo deployment-trineo deployment-spantwerk clean
+.PHONY: setup generate format lint test unit features demo deployment-trineo deployment-spantwerk clean
 
 setup: $(VENV)/.installed
 
@@ -11,6 +11,12 @@
 	$(BIN)/python -m pip install --quiet --editable '.[dev]'
 	touch $@
 
+# Needs the thrift compiler; its output is committed.
+generate:
+	thrift --gen py:slots,package_prefix=citronpaddle.generated. -out citronpaddle/generated citronpaddle/hints.thrift
+	rm -f citronpaddle/generated/hints/constants.py
+	echo '__all__ = ["ttypes"]' > citronpaddle/generated/hints/__init__.py
+
 format: setup
 	$(BIN)/black citronpaddle tests extras/*.py
 	$(BIN)/ruff check --fix citronpaddle tests extras/*.py
--- a/citronpaddle/adapters/eventlog.py
+++ b/citronpaddle/adapters/eventlog.py
@@ -44,6 +44,7 @@
     REQUEST_DENIED = "request_denied"
     CALLER_LEFT = "caller_left"
     CALL_FAILED = "call_failed"
+    HINTS_REFUSED = "hints_refused"
     INTERNAL_ERROR = "internal_error"
     LINES_SUPPRESSED = "lines_suppressed"
 
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -39,7 +39,7 @@
     # One watch call may wait this long; the store's limit is 30 s.
     watch_wait_ms: int = 25_000
     # Every watch call has its price: changes that follow each other closely share one. The closest
-    # bounds, 3 s for a configuration or a leaving upstream, leave room for this delay.
+    # bound for a configuration, 3 s on the smallest sites, leaves room for this delay.
     watch_interval_ms: float = 900.0
     first_retry_ms: float = 150.0
     max_retry_ms: float = 1_000.0
@@ -176,6 +176,8 @@
     async def _watch(self, after: int) -> None:
         """Follow changes until the store has forgotten some."""
         retry_ms = self._times.first_retry_ms
+        # When all instances start at once, their entries would end every first watch at once.
+        await asyncio.sleep(self._times.watch_interval_ms / 1_000)
         while True:
             called_ms = self._clock.now_ms()
             changes = await self._call_watch(after)
@@ -354,7 +356,8 @@
         else:
             try:
                 entry = json.loads(value)
-                members.put(Member(name, str(entry["address"]), str(entry["domain"])), now_ms)
+                address, domain = str(entry["address"]), str(entry["domain"])
+                members.put(Member(name, address, domain, str(entry.get("hints", ""))), now_ms)
             except (ValueError, KeyError, TypeError) as error:
                 self._log.write(Event.INTERNAL_ERROR, "fleet", reason=f"entry of {name}: {error!r}")
                 return
@@ -386,7 +389,8 @@
         if isinstance(lease, StoreFailure):
             return lease
         own = self._state.members.own
-        value = json.dumps({"address": own.address, "domain": own.domain}).encode()
+        entry = {"address": own.address, "domain": own.domain, "hints": own.hints_address}
+        value = json.dumps(entry).encode()
         result = await self._store.put(MEMBER_PREFIX + own.name, value, lease)
         if isinstance(result, StoreFailure):
             return result
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -3,11 +3,12 @@
 import asyncio
 import itertools
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from .adapters.connections import Address, ConnectionPool
 from .adapters.eventlog import Event, EventLog
+from .adapters.hintchannel import HintChannel, encode
 from .adapters.httpserver import (
     CallerConnection,
     Connections,
@@ -18,9 +19,11 @@
 from .clock import Clock
 from .fleet import Fleet, FleetState, FleetTimes, StateDecoder
 from .forwarding import CallCodec, Forwarder, RoutedRequest, Run
-from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation
+from .policy.active import MIN_ACTIVE, ActiveSet
+from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
 from .policy.exchange import Answered, Call, CallFailure, Latencies, Outcome, Tools
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
+from .policy.hints import GATHER_MS, Hint, Hints
 from .policy.members import Member, Members
 from .policy.registry import Registry
 from .policy.selection import Selector
@@ -41,6 +44,13 @@
 UNKNOWN_PATH_MS = 10.0
 # For this long after the start, upstreams may still hold connections of a predecessor.
 YOUNG_MS = 10_000.0
+# Share of a new observation in the mean lateness of timers, and how often others are told of it.
+STRAIN_WEIGHT = 0.2
+REPORT_MS = 1_000.0
+# The part of the time for a new configuration that a change may wait for the next watch.
+WATCH_SHARE = 0.3
+# How often it is looked at whether hints are of use.
+HINTS_REVIEW_MS = 2_000.0
 # On a stop, how often it is checked whether callers have gone, and the time for the last answer.
 STOP_CHECK_MS = 50.0
 LAST_BYTES_MS = 50.0
@@ -55,11 +65,13 @@
     ready_address: Address | None
     directory_address: Address | None
     store_address: Address
+    hints_address: Address | None
     grace_ms: float
     keep_s: float
     extra_load: ExtraLoadLimits
     cold: ColdLimits
     min_lease_ms: float
+    config_apply_ms: float
 
 
 class Admitted(NamedTuple):
@@ -130,13 +142,18 @@
         self._codec = caller_codec
         self._is_leaving = False
         self._started_ms = clock.now_ms()
-        self._rotations: dict[str, WeightedRotation] = {}
+        self._rotations: dict[tuple[str, tuple[WeightedService, ...]], WeightedRotation] = {}
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[asyncio.Server] = []
         self.counts = Counts()
         self.connections = Connections()
-        host, port = settings.callers_address or ("", 0)
-        members = Members(Member(settings.name, f"{host}:{port}", settings.domain))
+        own = Member(
+            settings.name,
+            _join(settings.callers_address),
+            settings.domain,
+            _join(settings.hints_address),
+        )
+        members = Members(own)
         self.state = FleetState(Registry(), members)
         self._slow_start = SlowStart(settings.cold, settings.name)
         self._selector = Selector(
@@ -148,7 +165,16 @@
         )
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
         self._pool = ConnectionPool(clock)
-        tools = Tools(self._selector, self._extra_load, Latencies(), itertools.count(1))
+        self._active = ActiveSet()
+        self._hints = Hints(self._selector, self._schedule_hints)
+        self._channel = HintChannel(self._take_message, self._refuse_message)
+        self._peers: list[Address] = []
+        self._strain_ms = 0.0
+        self._is_active = False
+        self._reported_ms = 0.0
+        tools = Tools(
+            self._selector, self._extra_load, Latencies(), itertools.count(1), self._hints
+        )
         self._forwarder = Forwarder(clock, call_codec, self._pool, tools, self._note_fault)
         self._fleet = Fleet(
             clock,
@@ -159,7 +185,10 @@
             log,
             random.random,
             self._apply_change,
-            FleetTimes(lease_ms=max(FleetTimes().lease_ms, settings.min_lease_ms)),
+            FleetTimes(
+                lease_ms=max(FleetTimes().lease_ms, settings.min_lease_ms),
+                watch_interval_ms=WATCH_SHARE * settings.config_apply_ms,
+            ),
         )
 
     @property
@@ -182,6 +211,8 @@
         ):
             if address is not None:
                 self._servers.append(await self._listen(address, service))
+        if settings.hints_address is not None:
+            await self._channel.open(settings.hints_address)
         self._fleet.start()
         self._keep_running(self._tick())
         self._log.write(
@@ -208,6 +239,7 @@
         for task in self._tasks:
             task.cancel()
         await self._fleet.stop()
+        self._channel.close()
         self._pool.close()
         self._log.write(Event.STOPPED, "gateway", took_ms=round(self._clock.now_ms() - started_ms))
         self._log.flush()
@@ -270,7 +302,7 @@
         domain = self._codec.find_resolve_domain(request)
         if domain is None:
             return HttpAnswer(404, (), b"not found")
-        addresses = self.state.members.list_addresses(domain, self.is_ready)
+        addresses = self.state.members.list_addresses(domain, self.is_ready, self._active.choose)
         return self._codec.make_addresses(addresses, self._settings.keep_s)
 
     def note_left(self, run: Run) -> None:
@@ -295,14 +327,22 @@
         )
 
     async def _tick(self) -> None:
+        reviewed_ms = self._clock.now_ms()
         while True:
+            slept_ms = self._clock.now_ms()
             await asyncio.sleep(TICK_MS / 1_000)
             now_ms = self._clock.now_ms()
+            late_ms = now_ms - slept_ms - TICK_MS
+            self._strain_ms += STRAIN_WEIGHT * (late_ms - self._strain_ms)
             self.connections.check_times(now_ms)
             self._pool.close_stale()
             self._fleet.tick()
             self._share()
             self._log.flush()
+            if now_ms - reviewed_ms >= HINTS_REVIEW_MS:
+                calls, upstreams = self._selector.count_calls()
+                self._hints.review(calls, upstreams, now_ms - reviewed_ms)
+                reviewed_ms = now_ms
 
     def _keep_running(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -317,23 +357,54 @@
     def _apply_change(self) -> None:
         self._share()
         if self.state.catalog is not None:
-            names = {route.name for route in self.state.catalog.routes}
-            for name in list(self._rotations):
-                if name not in names:
-                    del self._rotations[name]
+            routes = {(route.name, route.targets) for route in self.state.catalog.routes}
+            for key in self._rotations.keys() - routes:
+                del self._rotations[key]
 
     def _share(self) -> None:
         """Share budgets and connections out among the instances known."""
         now_ms = self._clock.now_ms()
         names = self.state.members.list_recent(now_ms)
-        self._extra_load.set_instances(len(names))
-        self._selector.set_instances(len(names), now_ms - self._started_ms < YOUNG_MS)
+        members = self.state.members.list_members()
+        self._active.review(members, now_ms)
+        share = self._active.measure_share(self._settings.name, members, names)
+        self._extra_load.set_share(share)
+        self._selector.set_share(share, now_ms - self._started_ms < YOUNG_MS)
         self._slow_start.set_instances(names)
+        own = self.state.members.own
+        active = self._active.choose(members)
+        self._is_active = own.name in {member.name for member in active}
+        self._peers = _list_hints_addresses(active, own)
+        if now_ms - self._reported_ms >= REPORT_MS and self._is_active:
+            self._reported_ms = now_ms
+            self._report_strain(members, own)
+
+    def _report_strain(self, members: list[Member], own: Member) -> None:
+        """Tell those that answer callers of this domain how this instance does."""
+        near = [member for member in members if member.domain == own.domain]
+        if len(near) > MIN_ACTIVE:
+            message = encode(own.name, self._strain_ms, [])
+            self._channel.send(message, _list_hints_addresses(near, own))
+
+    def _schedule_hints(self) -> None:
+        asyncio.get_running_loop().call_later(GATHER_MS / 1_000, self._send_hints)
+
+    def _send_hints(self) -> None:
+        message = encode(self._settings.name, self._strain_ms, self._hints.take())
+        self._channel.send(message, self._peers)
+
+    def _take_message(self, sender: str, strain_ms: float, hints: list[Hint]) -> None:
+        now_ms = self._clock.now_ms()
+        self._active.note_strain(sender, strain_ms, now_ms)
+        self._hints.apply(hints, now_ms)
+
+    def _refuse_message(self, reason: str) -> None:
+        self._log.write(Event.HINTS_REFUSED, "gateway", reason=reason)
 
     def _choose_service(self, route: Route) -> str:
         if len(route.targets) == 1:
             return route.targets[0].service
-        key = f"{route.name} {route.targets}"
+        key = (route.name, route.targets)
         rotation = self._rotations.get(key)
         if rotation is None:
             rotation = WeightedRotation(route.targets, self._random.random())
@@ -398,6 +469,20 @@
         )
 
 
+def _join(address: Address | None) -> str:
+    return f"{address[0]}:{address[1]}" if address else ""
+
+
+def _list_hints_addresses(members: Iterable[Member], own: Member) -> list[Address]:
+    """Return where the members other than `own` hear hints."""
+    found: list[Address] = []
+    for member in members:
+        host, _, port = member.hints_address.rpartition(":")
+        if member.name != own.name and host and port.isdigit():
+            found.append((host, int(port)))
+    return found
+
+
 class _GatewayService(Service):
     def __init__(self, gateway: Gateway, connections: Connections) -> None:
         self._gateway = gateway
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -33,6 +33,7 @@
         ready_address=_read_address(listen, "ready"),
         directory_address=_read_address(listen, "directory"),
         store_address=_read_address(store, "address"),
+        hints_address=_find_hints_address(document),
         grace_ms=_number(bounds, "grace_s", 6.0) * 1_000.0,
         keep_s=min(2.0, _number(bounds, "ttl_max_s", 5.0)),
         extra_load=ExtraLoadLimits(
@@ -43,10 +44,19 @@
         cold=ColdLimits(
             _number(bounds, "warmup_overshoot", 1.0), _number(bounds, "warmup_slack", 1.0)
         ),
+        config_apply_ms=_number(bounds, "config_apply_ms", 3_000.0),
         min_lease_ms=_number(store, "ttl_min_ms", 1_000.0),
     )
 
 
+def _find_hints_address(document: dict[str, Any]) -> tuple[str, int] | None:
+    """Return where this instance hears others: the first port that is free for that."""
+    ports = document.get("internal_port_range")
+    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+        return None
+    return _take(document, "ip", str), ports[0]
+
+
 def _read_address(table: dict[str, Any], name: str) -> tuple[str, int] | None:
     if name not in table:
         return None
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -12,6 +12,7 @@
 from .catalog import Route
 from .extraload import ExtraLoad
 from .hedging import LatencyWindow
+from .hints import Hints
 from .registry import Upstream
 from .selection import Selector
 
@@ -20,6 +21,10 @@
 # The part of the objective kept for the merge and for delays on the way back, and the least of it.
 ANSWER_MARGIN_SHARE = 0.03
 ANSWER_MARGIN_MS = 5.0
+# Share of a new observation in the mean lateness of answers, and the most of the objective that is
+# kept for it: beyond, there is no time left for the upstreams.
+OVERRUN_WEIGHT = 0.1
+MAX_OVERRUN_SHARE = 0.2
 # The route's time-out is kept with this margin for the answer.
 TIMEOUT_MARGIN_MS = 15.0
 # Before there are samples, a call counts as late after this share of the objective.
@@ -153,6 +158,11 @@
     def __init__(self) -> None:
         self._windows: dict[str, LatencyWindow] = {}
         self._late_ms: dict[str, tuple[float, float]] = {}
+        self.overrun_ms = 0.0
+
+    def note_overrun(self, late_ms: float) -> None:
+        """Take note of how late an answer was decided that was due at a certain time."""
+        self.overrun_ms += OVERRUN_WEIGHT * (late_ms - self.overrun_ms)
 
     def add(self, route: Route, now_ms: float, took_ms: float) -> None:
         """Count the time of one answer."""
@@ -179,12 +189,13 @@
 
 
 class Tools(NamedTuple):
-    """What all exchanges of an instance share."""
+    """What all exchanges of an instance share; `hints` tell other instances of late calls."""
 
     selector: Selector
     extra_load: ExtraLoad
     latencies: Latencies
     call_ids: itertools.count
+    hints: Hints
 
 
 class Exchange:
@@ -207,8 +218,12 @@
         self.received_ms = received_ms
         self.end_ms = min(end_ms, received_ms + route.timeout_ms) - TIMEOUT_MARGIN_MS
         self.outcome: Outcome | None = None
+        # Whether the answer is only waiting for more parts until the objective is near.
+        self._is_waiting_for_time = False
         self._is_gather = bool(route.shards)
+        # A busy instance reads a request about as late as it decides on the answer.
         margin_ms = max(ANSWER_MARGIN_MS, ANSWER_MARGIN_SHARE * route.objective_ms)
+        margin_ms += min(2.0 * tools.latencies.overrun_ms, MAX_OVERRUN_SHARE * route.objective_ms)
         self.soft_end_ms = received_ms + route.objective_ms - path_ms - margin_ms
         self._tools = tools
         self._parts = [_Part(service) for service in services]
@@ -255,7 +270,11 @@
         """Take a good answer of an upstream."""
         self._end(call)
         took_ms = now_ms - call.started_ms
-        self._tools.selector.note_answer(call.upstream.id, call.id, self.route.name, now_ms)
+        slowness = self._tools.selector.note_answer(
+            call.upstream.id, call.id, self.route.name, now_ms
+        )
+        if took_ms > self._late_ms:
+            self._tools.hints.note_answered(call.upstream.id, slowness)
         self._tools.latencies.add(self.route, now_ms, took_ms)
         part = self._parts[call.part]
         if part.reply is None and self.outcome is None:
@@ -363,6 +382,8 @@
             part.is_hedged = False
             self._call(index, now_ms, "connect", actions)
             return
+        if first.is_sent:
+            self._tools.hints.note_late(first.upstream.id, now_ms - first.started_ms, now_ms)
         if len(part.tried) >= self.route.max_upstreams:
             part.is_hedged = True
             return
@@ -464,10 +485,14 @@
         elif self._is_gather and self._waiting < len(self._parts):
             open_parts = [part for part in self._parts if not part.is_done]
             is_time = now_ms >= self.soft_end_ms
+            if not is_time:
+                self._is_waiting_for_time = self._suffices(self.parts_in)
             if (is_time or not any(part.is_hopeful for part in open_parts)) and self._suffices(
                 self.parts_in
             ):
                 self.outcome = self._build_outcome(False)
+                if is_time and self._is_waiting_for_time:
+                    self._tools.latencies.note_overrun(now_ms - self.soft_end_ms)
 
     def _build_outcome(self, is_late: bool) -> Outcome:
         replies = tuple(part.reply for part in self._parts if part.reply is not None)
--- a/citronpaddle/policy/extraload.py
+++ b/citronpaddle/policy/extraload.py
@@ -58,11 +58,11 @@
         self._started_ms = started_ms
         self._windows: dict[str, _Window] = {}
         self._size = int(limits.window_ms / _BUCKET_MS) + 2
-        self._instances = 0
+        self._share = 0.0
 
-    def set_instances(self, count: int) -> None:
-        """Share the slack out among `count` instances; 0 while their number is unknown."""
-        self._instances = count
+    def set_share(self, share: float) -> None:
+        """Use this share of the slack (0 to 1); the shares of all instances add up to 1."""
+        self._share = share
 
     def set_limits(self, limits: ExtraLoadLimits) -> None:
         """Take over other limits; the window keeps its length until a restart."""
@@ -89,11 +89,9 @@
         return allowed * self.SAFETY - sum(window.extras)
 
     def _share_slack(self, now_ms: float) -> float:
-        if self._instances <= 0:
-            return 0.0
         age = (now_ms - self._started_ms) / self._limits.window_ms
         earned = min(1.0, self.START_SHARE + (1.0 - self.START_SHARE) * age)
-        return self._limits.slack * earned / self._instances
+        return self._limits.slack * earned * self._share
 
     def _open(self, service: str, now_ms: float) -> _Window:
         window = self._windows.get(service)
--- a/citronpaddle/policy/members.py
+++ b/citronpaddle/policy/members.py
@@ -3,6 +3,7 @@
 Times are in ms on one monotonic clock.
 """
 
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 # After the store was away, instances need about this long to renew their entries.
@@ -16,11 +17,12 @@
 
 
 class Member(NamedTuple):
-    """One entry instance; `address` is `host:port` for callers."""
+    """One entry instance; the addresses are `host:port`, for callers and for hints."""
 
     name: str
     address: str
     domain: str
+    hints_address: str = ""
 
 
 class Members:
@@ -80,9 +82,20 @@
         }
         return tuple(sorted({self._own.name, *self._seen_ms}))
 
-    def list_addresses(self, domain: str, is_own_open: bool) -> list[str]:
+    def list_members(self) -> list[Member]:
+        """Return all members."""
+        return list(self._members.values())
+
+    def list_addresses(
+        self,
+        domain: str,
+        is_own_open: bool,
+        choose: Callable[[Iterable[Member]], Iterable[Member]],
+    ) -> list[str]:
         """Return the addresses for a caller in `domain`, this one's included if `is_own_open`.
 
+        `choose` returns those of the members that are in use.
+
         Callers get the instances of their own domain alone: the way to another one and back takes
         a good part of a short objective. With too few of them the others follow.
         """
@@ -91,7 +104,8 @@
             members[self._own.name] = self._own
         elif len(members) > 1:
             members.pop(self._own.name, None)
-        near = sorted(member for member in members.values() if member.domain == domain)
-        far = sorted(member for member in members.values() if member.domain != domain)
+        active = list(choose(members.values()))
+        near = sorted(member for member in active if member.domain == domain)
+        far = sorted(member for member in active if member.domain != domain)
         chosen = near if len(near) >= MIN_NEAR else near + far
         return [member.address for member in chosen[:MAX_ADDRESSES]]
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -24,6 +24,12 @@
 # The way to another failure domain and back; bytes between domains have a price besides.
 _FAR_COST = 0.8
 _OVERDUE_COST = 6.0
+# What another instance says of an upstream that holds up a call counts for this long: a pause is
+# over after some hundred ms, and the next late call tells of it again.
+_PEER_LATE_MS = 120.0
+# All calls that one pause has held up are answered together: they count as one slow answer. A slow
+# upstream goes on to give slow answers.
+_PEER_ANSWER_INTERVAL_MS = 300.0
 # An upstream that refuses connections or stays silent is avoided this long, doubling each time.
 _FIRST_BLOCK_MS = 250.0
 _MAX_BLOCK_MS = 2_000.0
@@ -45,6 +51,8 @@
         "failure_rate",
         "last_ms",
         "open_sent_ms",
+        "peer_answer_ms",
+        "peer_late_until_ms",
         "slowness",
     )
 
@@ -54,6 +62,8 @@
         self.last_ms = 0.0
         self.blocked_until_ms = 0.0
         self.block_ms = 0.0
+        self.peer_answer_ms = 0.0
+        self.peer_late_until_ms = 0.0
         # When each open call was sent, by call; the oldest comes first.
         self.open_sent_ms: dict[int, float] = {}
 
@@ -87,15 +97,16 @@
         self._domain = domain
         self._records: dict[str, UpstreamRecord] = {}
         self._usual_ms: dict[str, float] = {}
-        self._instances = 1
+        self._share = 1.0
+        self._calls = 0
 
-    def set_instances(self, count: int, is_young: bool) -> None:
-        """Share the connections of every upstream out among `count` instances.
+    def set_share(self, share: float, is_young: bool) -> None:
+        """Use this share of every upstream's connections.
 
-        While this one `is_young`, upstreams may still hold the connections of its predecessor, so
-        it uses half of its share.
+        While this instance `is_young`, upstreams may still hold the connections of its predecessor,
+        so it uses half of its share.
         """
-        self._instances = max(1, count) * (2 if is_young else 1)
+        self._share = share / 2 if is_young else share
 
     def is_listed(self, service: str) -> bool:
         """Return whether any upstream of `service` may get requests."""
@@ -130,8 +141,7 @@
             return True
         record = self._records.get(upstream.id)
         if record is not None:
-            share = max(1, limits.max_connections // self._instances)
-            if len(record.open_sent_ms) >= share:
+            if len(record.open_sent_ms) >= max(1, int(limits.max_connections * self._share)):
                 return False
         if upstream.cold_until_ms > now_ms and limits.cold_rate_per_s > 0:
             return self._slow_start.permit(upstream.id, limits.cold_rate_per_s, now_ms)
@@ -151,28 +161,30 @@
             cost *= 1.0 + _OUTSTANDING_COST * outstanding / max(1, upstream.slots)
             oldest_ms = next(iter(record.open_sent_ms.values()))
             if now_ms - oldest_ms > late_ms:
-                cost += _OVERDUE_COST
+                return cost + _OVERDUE_COST, record.blocked_until_ms <= now_ms
+        if record.peer_late_until_ms > now_ms:
+            cost += _OVERDUE_COST
         if record.blocked_until_ms > now_ms:
             return cost + 100.0, False
         return cost, True
 
     def note_sent(self, upstream: Upstream, call_id: int, now_ms: float) -> None:
         """Count a call as open from now on."""
-        record = self._records.get(upstream.id)
-        if record is None:
-            record = self._records[upstream.id] = UpstreamRecord()
-            record.last_ms = now_ms
-        record.open_sent_ms[call_id] = now_ms
+        self._calls += 1
+        self._open_record(upstream.id, now_ms).open_sent_ms[call_id] = now_ms
         if upstream.cold_until_ms > now_ms:
             limits = self._get_limits(upstream.service)
             rate_per_s = limits.cold_rate_per_s if limits else 0.0
             self._slow_start.note_sent(upstream.id, rate_per_s, now_ms)
 
-    def note_answer(self, upstream_id: str, call_id: int, group: str, now_ms: float) -> None:
-        """Count an answer; `group` names calls that usually take equally long."""
+    def note_answer(self, upstream_id: str, call_id: int, group: str, now_ms: float) -> float:
+        """Count an answer and return how long it took in multiples of the usual time.
+
+        `group` names calls that usually take equally long.
+        """
         record, took_ms = self._close(upstream_id, call_id, now_ms)
         if record is None:
-            return
+            return 1.0
         usual_ms = self._usual_ms.get(group, took_ms)
         # A few very slow answers must not pass for the usual time.
         bounded_ms = min(took_ms, 3.0 * usual_ms)
@@ -183,6 +195,7 @@
         record.failure_rate -= _FAILURE_WEIGHT * record.failure_rate
         record.block_ms = 0.0
         record.blocked_until_ms = 0.0
+        return slowness
 
     def note_failure(
         self, upstream_id: str, call_id: int, now_ms: float, is_unreachable: bool
@@ -204,11 +217,43 @@
             record.fade(now_ms)
             record.slowness += _SLOWNESS_WEIGHT * (_MAX_SLOWNESS - record.slowness)
 
+    def count_calls(self) -> tuple[int, int]:
+        """Return the calls since the last count, and the number of upstreams ever called."""
+        calls, self._calls = self._calls, 0
+        return calls, len(self._records)
+
+    def is_known_late(self, upstream_id: str, now_ms: float) -> bool:
+        """Return whether another instance has just told that a call to the upstream is late."""
+        record = self._records.get(upstream_id)
+        return record is not None and record.peer_late_until_ms > now_ms
+
+    def note_peer_late(self, upstream_id: str, now_ms: float) -> None:
+        """Take over that a call of another instance is late."""
+        self._open_record(upstream_id, now_ms).peer_late_until_ms = now_ms + _PEER_LATE_MS
+
+    def note_peer_answer(self, upstream_id: str, slowness: float, now_ms: float) -> None:
+        """Take over how slow a late call of another instance was in the end."""
+        record = self._open_record(upstream_id, now_ms)
+        record.peer_late_until_ms = 0.0
+        if now_ms < record.peer_answer_ms + _PEER_ANSWER_INTERVAL_MS:
+            return
+        record.peer_answer_ms = now_ms
+        record.fade(now_ms)
+        bounded = max(0.0, min(_MAX_SLOWNESS, slowness))
+        record.slowness += _SLOWNESS_WEIGHT * (bounded - record.slowness)
+
     def forget(self, upstream_id: str) -> None:
         """Drop what was seen of an upstream that is gone."""
         self._records.pop(upstream_id, None)
         self._slow_start.forget(upstream_id)
 
+    def _open_record(self, upstream_id: str, now_ms: float) -> UpstreamRecord:
+        record = self._records.get(upstream_id)
+        if record is None:
+            record = self._records[upstream_id] = UpstreamRecord()
+            record.last_ms = now_ms
+        return record
+
     def _close(
         self, upstream_id: str, call_id: int, now_ms: float
     ) -> tuple[UpstreamRecord | None, float]:
--- a/tests/exchanges.py
+++ b/tests/exchanges.py
@@ -19,6 +19,7 @@
     Tools,
 )
 from citronpaddle.policy.extraload import ExtraLoad, ExtraLoadLimits
+from citronpaddle.policy.hints import Hints
 from citronpaddle.policy.registry import Registry, Upstream
 from citronpaddle.policy.selection import Selector
 from citronpaddle.policy.slowstart import ColdLimits, SlowStart
@@ -98,11 +99,14 @@
             lambda name: known.get(name, ServiceLimits(name, 26, 3_000.0, 0.0)),
             random.random,
         )
-        self.selector.set_instances(instances, False)
+        self.selector.set_share(1.0 / instances, False)
         # The slack is earned within a window of the start.
         self.extra_load = ExtraLoad(limits, self.now_ms - limits.window_ms)
-        self.extra_load.set_instances(instances)
-        self.tools = Tools(self.selector, self.extra_load, Latencies(), itertools.count(1))
+        self.extra_load.set_share(1.0 / instances)
+        self.hints = Hints(self.selector, lambda: None)
+        self.tools = Tools(
+            self.selector, self.extra_load, Latencies(), itertools.count(1), self.hints
+        )
         self.calls: list[tuple[float, Call]] = []
         self.cancelled: list[Call] = []
         self._script = script
--- a/tests/test_extraload.py
+++ b/tests/test_extraload.py
@@ -24,7 +24,7 @@
     budgets = [ExtraLoad(LIMITS, 0.0) for _ in range(instances)]
     requests, extras = [], []
     for budget in budgets:
-        budget.set_instances(instances)
+        budget.set_share(1.0 / instances)
     for step in range(500):
         now_ms = step * 50.0
         for budget in budgets:
@@ -47,7 +47,7 @@
     The predecessors may have spent as much as hedges may take just before.
     """
     budget = ExtraLoad(LIMITS, 0.0)
-    budget.set_instances(1)
+    budget.set_share(1.0)
     spent = 0
     while budget.spend("s", 100.0, True):
         spent += 1
--- /dev/null
+++ b/tests/test_hints.py
@@ -0,0 +1,117 @@
+"""What instances tell each other of upstreams, and which of them are in use."""
+
+from exchanges import World, make_single_route, make_upstream, succeed
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citronpaddle.adapters.hintchannel import decode, encode
+from citronpaddle.policy.active import CALM_MS, MIN_ACTIVE, ActiveSet
+from citronpaddle.policy.hints import Hint, HintKind, Hints
+from citronpaddle.policy.members import Member
+
+PAIR = [make_upstream("a0"), make_upstream("b0")]
+
+
+def make_members(count, domain="a"):
+    return [Member(f"{domain}{number:02}", f"h{number}:80", domain) for number in range(count)]
+
+
+def test_upstream_that_another_instance_finds_late_is_avoided_for_a_moment():
+    """Load: a pause that another instance has met. Guards against finding it out again."""
+    world = World(PAIR, lambda call, now_ms: succeed())
+    world.hints.apply([Hint(HintKind.LATE, "a0", 40.0)], world.now_ms)
+    for _ in range(5):
+        world.run(make_single_route())
+    assert {call.upstream.id for _, call in world.calls} == {"b0"}
+    world.now_ms += 1_000.0
+    for _ in range(40):
+        world.run(make_single_route())
+    assert "a0" in {call.upstream.id for _, call in world.calls}
+
+
+def test_false_hints_about_all_upstreams_stop_no_request():
+    """Guards against a slow instance whose calls are all late: it must not stop the others."""
+    world = World(PAIR, lambda call, now_ms: succeed())
+    world.hints.apply([Hint(HintKind.LATE, name, 40.0) for name in ("a0", "b0")], world.now_ms)
+    world.hints.apply([Hint(HintKind.ANSWERED, "a0", 1e308)], world.now_ms)
+    outcome, took_ms = world.run(make_single_route())
+    assert outcome.replies and took_ms == 10.0
+
+
+def test_hints_are_given_only_where_calls_are_rare():
+    """Guards against datagrams that tell instances what they see themselves."""
+    world = World(PAIR, lambda call, now_ms: succeed())
+    scheduled = []
+    hints = Hints(world.selector, lambda: scheduled.append(1))
+    hints.review(calls=400, upstreams=40, period_ms=2_000.0)
+    hints.note_late("a0", 40.0, world.now_ms)
+    assert not scheduled and not hints.take()
+    hints.review(calls=40, upstreams=40, period_ms=2_000.0)
+    hints.note_late("a0", 40.0, world.now_ms)
+    hints.note_late("b0", 40.0, world.now_ms)
+    hints.note_answered("a0", 6.0)
+    assert scheduled == [1]
+    assert hints.take() == [Hint(HintKind.ANSWERED, "a0", 6.0), Hint(HintKind.LATE, "b0", 40.0)]
+
+
+def test_messages_keep_their_meaning():
+    """Guards against a codec that loses hints."""
+    hints = [Hint(HintKind.LATE, "a0", 40.5), Hint(HintKind.ANSWERED, "b0", 6.0)]
+    assert decode(encode("i0", 1.5, hints)) == ("i0", 1.5, hints)
+
+
+@given(st.binary(max_size=300))
+def test_foreign_datagrams_are_refused(data):
+    """Guards against an instance that any bytes on its port can stop."""
+    assert isinstance(decode(data), str | tuple)
+
+
+def test_small_domain_uses_all_of_its_instances():
+    """Guards against leaving out instances of which there are few."""
+    members = make_members(MIN_ACTIVE)
+    assert sorted(ActiveSet().choose(members)) == members
+
+
+def test_all_choose_the_same_few_instances_of_a_large_domain():
+    """Guards against traffic so thin that no instance knows its upstreams."""
+    members = make_members(30) + make_members(30, "b")
+    chosen = ActiveSet().choose(members)
+    assert len(chosen) == 2 * MIN_ACTIVE
+    assert sorted(ActiveSet().choose(reversed(members))) == sorted(chosen)
+
+
+def test_strain_brings_more_instances_into_use_and_calm_sends_them_back():
+    """Load: a burst strains half of the instances in use for 5 s, then it is calm."""
+    members = make_members(100)
+    active = ActiveSet()
+    now_ms = 0.0
+    for second in range(60):
+        now_ms = second * 1_000.0
+        for number, member in enumerate(active.choose(members)):
+            is_strained = second < 5 and number % 2
+            active.note_strain(member.name, 40.0 if is_strained else 1.0, now_ms)
+        active.review(members, now_ms)
+        if second == 5:
+            assert len(active.choose(members)) == 100
+    assert len(active.choose(members)) < 100
+    assert now_ms > CALM_MS
+
+
+def test_one_slow_machine_does_not_widen_the_set():
+    """Guards against giving up warm connections for one slow machine."""
+    members = make_members(30)
+    active = ActiveSet()
+    for second in range(10):
+        for number, member in enumerate(active.choose(members)):
+            active.note_strain(member.name, 500.0 if number == 0 else 1.0, second * 1_000.0)
+        active.review(members, second * 1_000.0)
+    assert len(active.choose(members)) == MIN_ACTIVE
+
+
+def test_shares_of_common_limits_add_up_to_one_at_most():
+    """Guards against BUDGET: the shares of all instances together are the whole."""
+    members = make_members(30) + make_members(5, "b")
+    names = [member.name for member in members] + ["just-left"]
+    active = ActiveSet()
+    total = sum(active.measure_share(name, members, names) for name in names)
+    assert 0.99 < total <= 1.000001
