--- /dev/null
+++ b/citronpaddle/adapters/counts.py
@@ -0,0 +1,75 @@
+"""Counters and latency histograms of an entry instance on the platform.
+
+prometheus_client writes them down, but is loaded only when somebody asks: a serving process without
+it takes a quarter less memory.
+"""
+
+from bisect import bisect_left
+
+# From the shortest objectives, about 100 ms, to the longest time-outs.
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0, 15.0)
+
+
+class Counts:
+    """Counts by name and label, and latencies by route and outcome; labels are closed sets."""
+
+    def __init__(self) -> None:
+        self.values: dict[tuple[str, str], int] = {}
+        self.latencies: dict[tuple[str, str], list[int]] = {}
+        self.sums_ms: dict[tuple[str, str], float] = {}
+
+    def add(self, name: str, label: str, count: int = 1) -> None:
+        """Count under a label."""
+        key = (name, label)
+        self.values[key] = self.values.get(key, 0) + count
+
+    def observe(self, route: str, outcome: str, took_ms: float) -> None:
+        """Count the latency of one request."""
+        key = (route, outcome)
+        buckets = self.latencies.get(key)
+        if buckets is None:
+            buckets = self.latencies[key] = [0] * (len(LATENCY_BUCKETS_S) + 1)
+        buckets[bisect_left(LATENCY_BUCKETS_S, took_ms / 1_000)] += 1
+        self.sums_ms[key] = self.sums_ms.get(key, 0.0) + took_ms
+
+
+def render(counts: Counts, gauges: dict[str, float]) -> bytes:
+    """Return everything in the Prometheus text format."""
+    from prometheus_client import CollectorRegistry, generate_latest
+    from prometheus_client.core import (
+        CounterMetricFamily,
+        GaugeMetricFamily,
+        HistogramMetricFamily,
+    )
+
+    families = [
+        GaugeMetricFamily(f"citronpaddle_{name}", name.replace("_", " "), value=value)
+        for name, value in gauges.items()
+    ]
+    counters: dict[str, CounterMetricFamily] = {}
+    for (name, label), value in counts.values.items():
+        if name not in counters:
+            counters[name] = CounterMetricFamily(
+                f"citronpaddle_{name}", name.replace("_", " "), labels=["kind"]
+            )
+        counters[name].add_metric([label], value)
+    latency = HistogramMetricFamily(
+        "citronpaddle_request_seconds", "time to an answer", labels=["route", "outcome"]
+    )
+    for key, buckets in counts.latencies.items():
+        bounds = [*map(str, LATENCY_BUCKETS_S), "+Inf"]
+        cumulative = [sum(buckets[: at + 1]) for at in range(len(buckets))]
+        latency.add_metric(
+            list(key), list(zip(bounds, cumulative, strict=True)), counts.sums_ms[key] / 1_000
+        )
+    registry = CollectorRegistry()
+    registry.register(_Collector([*families, *counters.values(), latency]))
+    return generate_latest(registry)
+
+
+class _Collector:
+    def __init__(self, families: list) -> None:
+        self._families = families
+
+    def collect(self) -> list:
+        return self._families
--- /dev/null
+++ b/citronpaddle/explanation.py
@@ -0,0 +1,124 @@
+"""Tells the story of one request from the log lines of one or more instances."""
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+# Changes of state that a request may have been decided on; those just before it are shown.
+STATE_EVENTS = frozenset(
+    {
+        "configuration_taken",
+        "configuration_refused",
+        "store_lost",
+        "store_regained",
+        "history_lost",
+        "watch_silent",
+        "domains_out",
+        "upstream_listed",
+        "upstream_gone",
+        "stopping",
+    }
+)
+# Changes older than this seldom explain a request.
+STATE_WINDOW_MS = 10_000
+# A watch that brings nothing is answered after 25 s; later than this the store is silent.
+OLD_STATE_MS = 30_000
+
+FINDINGS = {
+    "unreachable": "the list of upstreams named one that does not accept connections",
+    "misdirected": "the list of upstreams named an address that another upstream has taken over",
+    "rejected": "the upstream had no room, or the request's time was over in its queue",
+    "broken": "the connection ended after the request had left: it may have run",
+    "garbled": "the upstream sent bytes that are no whole answer",
+    "error": "the upstream ran the request and failed",
+}
+
+
+class Story(NamedTuple):
+    """The lines about a request in order, state changes just before it, and what they tell."""
+
+    request_id: str
+    lines: tuple[dict[str, Any], ...]
+    state: tuple[dict[str, Any], ...]
+    findings: tuple[str, ...]
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yield the log objects in these lines; what stands before an object is left out."""
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = json.loads(text[start:])
+        except ValueError:
+            # A line that was cut, or one of another program.
+            continue
+        if isinstance(line, dict) and "event" in line:
+            yield line
+
+
+def explain(request_id: str, lines: Iterable[dict[str, Any]]) -> Story | None:
+    """Return the story of a request, or None if no line is about it."""
+    ordered = sorted(lines, key=lambda line: line.get("time_ms", 0))
+    own = tuple(line for line in ordered if line.get("id") == request_id)
+    if not own:
+        return None
+    instances = {line.get("instance") for line in own}
+    touched = _list_touched(own)
+    first_ms, last_ms = own[0].get("time_ms", 0), own[-1].get("time_ms", 0)
+    state = tuple(
+        line
+        for line in ordered
+        if line["event"] in STATE_EVENTS
+        and line.get("instance") in instances
+        and first_ms - STATE_WINDOW_MS <= line.get("time_ms", 0) <= last_ms
+        and ("upstream" not in line or line["upstream"] in touched)
+    )
+    findings = tuple(dict.fromkeys(_find(own, state)))
+    return Story(request_id, own, state, findings)
+
+
+def _list_touched(own: tuple[dict[str, Any], ...]) -> set[str]:
+    touched = {line["upstream"] for line in own if "upstream" in line}
+    for line in own:
+        for _, tried, _ in line.get("missing_parts", ()):
+            touched.update(tried)
+    return touched
+
+
+def _find(own: tuple[dict[str, Any], ...], state: tuple[dict[str, Any], ...]) -> Iterator[str]:
+    for line in own:
+        if line["event"] == "call_failed":
+            reason = FINDINGS.get(line.get("fault", ""), "the call failed")
+            yield f"{line['upstream']} ({line['service']}): {reason}"
+        for service, tried, fault in line.get("missing_parts", ()):
+            called = ", ".join(tried) or "no upstream"
+            yield f"part {service} is missing: {fault}, called {called}"
+        if line.get("reason") in ("no_upstream", "too_few_shards"):
+            yield "the list of upstreams named none for the request, or for too many of its shards"
+        if line.get("state_age_ms", 0) > OLD_STATE_MS:
+            yield f"the store was silent for {line['state_age_ms']} ms: the state was old"
+    if any(line["event"] == "store_lost" for line in state):
+        yield "the store was lost just before: the list of upstreams may have been old"
+
+
+def format_story(story: Story) -> str:
+    """Return the story as text for people."""
+    rows = [f"request {story.request_id}"]
+    for title, items in (
+        ("changes of state before it:", map(_format_line, story.state)),
+        ("what happened to it:", map(_format_line, story.lines)),
+        ("what this tells:", story.findings),
+    ):
+        indented = [f"  {item}" for item in items]
+        rows += [title, *indented] if indented else []
+    return "\n".join(rows)
+
+
+def _format_line(line: dict[str, Any]) -> str:
+    hidden = ("time_ms", "instance", "part", "event", "id")
+    fields = " ".join(
+        f"{name}={json.dumps(value)}" for name, value in line.items() if name not in hidden
+    )
+    return f"{line.get('time_ms')} {line.get('instance')} {line['event']} {fields}"
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -11,6 +11,7 @@
 from .clock import Clock
 from .policy.catalog import Route
 from .policy.exchange import (
+    FIRST_CALL,
     Action,
     Call,
     CallFailure,
@@ -66,6 +67,18 @@
     path_ms: float = 0.0
 
 
+class CallObserver(ABC):
+    """Who wants to know of calls beyond the first of a part, and of calls that failed."""
+
+    @abstractmethod
+    def note_repeat(self, request: RoutedRequest, call: Call) -> None:
+        """Take note of a hedge, a retry or another connection."""
+
+    @abstractmethod
+    def note_fault(self, request: RoutedRequest, call: Call, failure: CallFailure) -> None:
+        """Take note of a call without a usable answer."""
+
+
 class Run:
     """One exchange in progress."""
 
@@ -112,6 +125,8 @@
     def _send(self, call: Call) -> None:
         forwarder = self._forwarder
         self.reasons[call.reason] += 1
+        if call.reason != FIRST_CALL:
+            forwarder.observer.note_repeat(self.request, call)
         sink = ResponseSink(
             lambda response: forwarder.codec.is_own(self.request.content, response),
             lambda response: self._note_response(call, response),
@@ -156,7 +171,7 @@
 
     def _note_fault(self, call: Call, failure: CallFailure, now_ms: float) -> None:
         self.reasons[f"fault_{failure.fault.value}"] += 1
-        self._forwarder.note_fault(self.request, call, failure)
+        self._forwarder.observer.note_fault(self.request, call, failure)
         self._apply(self.exchange.handle_failure(call, failure, now_ms))
 
     def _check(self) -> None:
@@ -208,13 +223,13 @@
         codec: CallCodec,
         pool: ConnectionPool,
         tools: Tools,
-        note_fault: Callable[[RoutedRequest, Call, CallFailure], None],
+        observer: CallObserver,
     ) -> None:
         self.clock = clock
         self.codec = codec
         self.pool = pool
         self.tools = tools
-        self.note_fault = note_fault
+        self.observer = observer
         self.runs: set[Run] = set()
 
     def forward(self, request: RoutedRequest, deliver: Callable[[Outcome], None]) -> Run:
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from .adapters.connections import Address, ConnectionPool
+from .adapters.counts import Counts, render
 from .adapters.eventlog import Event, EventLog
 from .adapters.hintchannel import HintChannel, encode
 from .adapters.httpserver import (
@@ -18,7 +19,7 @@
 )
 from .clock import Clock
 from .fleet import Fleet, FleetState, FleetTimes, StateDecoder
-from .forwarding import CallCodec, Forwarder, RoutedRequest, Run
+from .forwarding import CallCodec, CallObserver, Forwarder, RoutedRequest, Run
 from .policy.active import MIN_ACTIVE, ActiveSet
 from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
 from .policy.exchange import Answered, Call, CallFailure, Latencies, Outcome, Tools
@@ -51,6 +52,8 @@
 WATCH_SHARE = 0.3
 # How often it is looked at whether hints are of use.
 HINTS_REVIEW_MS = 2_000.0
+METRICS_PATH = b"/metrics"
+METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
 # On a stop, how often it is checked whether callers have gone, and the time for the last answer.
 STOP_CHECK_MS = 50.0
 LAST_BYTES_MS = 50.0
@@ -109,16 +112,40 @@
         """Return the answer to a caller that asks for addresses."""
 
 
-class Counts:
-    """Counters for the metrics page."""
+class CallLog(CallObserver):
+    """Logs and counts what happens to calls."""
 
-    def __init__(self) -> None:
-        self.values: dict[tuple[str, str], int] = {}
+    def __init__(self, clock: Clock, log: EventLog, counts: Counts) -> None:
+        self._clock = clock
+        self._log = log
+        self._counts = counts
 
-    def add(self, name: str, label: str, count: int = 1) -> None:
-        """Count under a label of a closed set."""
-        key = (name, label)
-        self.values[key] = self.values.get(key, 0) + count
+    def note_repeat(self, request: RoutedRequest, call: Call) -> None:
+        self._counts.add("call_repeats", call.reason)
+        self._log.write(
+            Event.CALL_REPEATED,
+            "forwarding",
+            id=request.id,
+            service=call.upstream.service,
+            upstream=call.upstream.id,
+            reason=call.reason,
+            after_ms=round(call.started_ms - request.received_ms, 1),
+        )
+
+    def note_fault(self, request: RoutedRequest, call: Call, failure: CallFailure) -> None:
+        self._counts.add("call_faults", failure.fault.value)
+        self._log.write(
+            Event.CALL_FAILED,
+            "forwarding",
+            id=request.id,
+            service=call.upstream.service,
+            upstream=call.upstream.id,
+            reason=call.reason,
+            fault=failure.fault.value,
+            status=failure.reply.status if failure.reply else None,
+            was_sent=call.is_sent,
+            after_ms=round(self._clock.now_ms() - call.started_ms, 1),
+        )
 
 
 class Gateway:
@@ -175,7 +202,9 @@
         tools = Tools(
             self._selector, self._extra_load, Latencies(), itertools.count(1), self._hints
         )
-        self._forwarder = Forwarder(clock, call_codec, self._pool, tools, self._note_fault)
+        self._forwarder = Forwarder(
+            clock, call_codec, self._pool, tools, CallLog(clock, log, self.counts)
+        )
         self._fleet = Fleet(
             clock,
             make_store(settings.store_address, ConnectionPool(clock)),
@@ -305,6 +334,21 @@
         addresses = self.state.members.list_addresses(domain, self.is_ready, self._active.choose)
         return self._codec.make_addresses(addresses, self._settings.keep_s)
 
+    def render_metrics(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        now_ms = self._clock.now_ms()
+        catalog = self.state.catalog
+        gauges = {
+            "configuration_version": catalog.version if catalog else 0,
+            "state_age_seconds": (now_ms - self.state.heard_ms) / 1_000,
+            "upstreams": len(self.state.registry),
+            "instances": len(self.state.members.list_names()),
+            "requests_in_progress": self.connections.count_busy(),
+            "timer_lateness_seconds": self._strain_ms / 1_000,
+            "upstream_connections_opened": self._pool.opened,
+        }
+        return render(self.counts, gauges)
+
     def note_left(self, run: Run) -> None:
         """Take note that the caller of this request has left."""
         self.counts.add("requests", "caller_left")
@@ -437,10 +481,13 @@
         if isinstance(outcome, Answered):
             label = "partial" if outcome.missing else "answered"
             fields["missing"] = outcome.missing
+            if outcome.missing and run:
+                fields["missing_parts"] = run.exchange.describe_missing()
         else:
             label = type(outcome).__name__.lower()
             fields["reason"] = outcome.reason
         self.counts.add("requests", label)
+        self.counts.observe(request.route.name, label, took_ms)
         self._log.write(
             Event.REQUEST_ENDED,
             "gateway",
@@ -454,20 +501,6 @@
             **fields,
         )
 
-    def _note_fault(self, request: RoutedRequest, call: Call, failure: CallFailure) -> None:
-        self.counts.add("call_faults", failure.fault.value)
-        self._log.write(
-            Event.CALL_FAILED,
-            "forwarding",
-            id=request.id,
-            upstream=call.upstream.id,
-            service=call.upstream.service,
-            reason=call.reason,
-            fault=failure.fault.value,
-            status=failure.reply.status if failure.reply else None,
-            after_ms=round(self._clock.now_ms() - call.started_ms, 1),
-        )
-
 
 def _join(address: Address | None) -> str:
     return f"{address[0]}:{address[1]}" if address else ""
@@ -526,11 +559,14 @@
 
 
 class StatusService(_GatewayService):
-    """The platform's question whether this instance is ready."""
+    """The platform's question whether this instance is ready, and the metrics."""
 
     def __init__(self, gateway: Gateway) -> None:
         super().__init__(gateway, Connections())
 
     def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        if request.target == METRICS_PATH:
+            connection.answer(HttpAnswer(200, METRICS_HEADERS, self._gateway.render_metrics()))
+            return
         status = 200 if self._gateway.is_ready else 503
         connection.answer(HttpAnswer(status, (), b"ready\n" if status == 200 else b"not ready\n"))
--- a/citronpaddle/platform/entry.py
+++ b/citronpaddle/platform/entry.py
@@ -14,6 +14,10 @@
 
 import asyncio
 
+if __name__ == "__main__":
+    # What is loaded on demand, such as the metrics page, may still have it.
+    del sys.modules["ssl"]
+
 from ..adapters.eventlog import Event, EventLog
 from ..clock import SystemClock
 from ..gateway import Gateway, GatewaySettings
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -16,6 +16,8 @@
 from .registry import Upstream
 from .selection import Selector
 
+# The reason of a part's first call; every other one is a repeat.
+FIRST_CALL = "first"
 # Calls of one part, rejected ones included; more would keep an upstream in trouble busy.
 MAX_CALLS = 5
 # The part of the objective kept for the merge and for delays on the way back, and the least of it.
@@ -152,6 +154,14 @@
         return self.doubtful > 0 or any(call.is_sent for call in self.open.values())
 
 
+class MissingPart(NamedTuple):
+    """A part without an answer: its service, the upstreams that were called, the last fault."""
+
+    service: str
+    tried: tuple[str, ...]
+    fault: str
+
+
 class Latencies:
     """When a call of a route counts as late, from the answer times of its calls."""
 
@@ -241,6 +251,14 @@
         """Return the calls that have not ended."""
         return list(self._calls.values())
 
+    def describe_missing(self) -> list[MissingPart]:
+        """Return the parts without an answer, for whoever asks why."""
+        return [
+            MissingPart(part.service, tuple(part.tried), part.last_fault or "no_answer_in_time")
+            for part in self._parts
+            if part.reply is None
+        ]
+
     def start(self, now_ms: float) -> list[Action]:
         """Return the first calls."""
         actions: list[Action] = []
@@ -258,7 +276,7 @@
                 return actions
         for index in range(len(self._parts)):
             self._tools.extra_load.note_request(self._parts[index].service, now_ms)
-            self._call(index, now_ms, "first", actions)
+            self._call(index, now_ms, FIRST_CALL, actions)
         self._decide(now_ms)
         return actions
 
@@ -317,7 +335,7 @@
                 continue
             if not part.open:
                 if now_ms >= part.resume_ms:
-                    reason = "first" if part.calls == 0 else "retry"
+                    reason = FIRST_CALL if part.calls == 0 else "retry"
                     self._call(index, now_ms, reason, actions)
             else:
                 self._hedge(index, now_ms, actions)
--- /dev/null
+++ b/tests/test_eventlog.py
@@ -0,0 +1,137 @@
+"""Log lines: bounded, never blocking, enough to explain a request; the metrics page."""
+
+import json
+import os
+
+from click.testing import CliRunner
+
+from citronpaddle.adapters.counts import Counts, render
+from citronpaddle.adapters.eventlog import MAX_BUFFER_BYTES, MAX_LINES_PER_S, Event, EventLog
+from citronpaddle.cli.explain import main
+from citronpaddle.clock import VirtualClock
+from citronpaddle.explanation import explain, read_lines
+
+
+def read_all(descriptor: int) -> list[dict]:
+    return [json.loads(line) for line in read_bytes(descriptor).splitlines()]
+
+
+def read_bytes(descriptor: int) -> bytes:
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            chunk = os.read(descriptor, 1 << 20)
+        except BlockingIOError:
+            break
+        if not chunk:
+            break
+        data += chunk
+    return data
+
+
+def test_flood_is_bounded_and_counted():
+    """Guards against logs that take the processor under load."""
+    reader, writer = os.pipe()
+    clock = VirtualClock(1_000.0)
+    log = EventLog("i0", clock, writer)
+    for number in range(5 * MAX_LINES_PER_S):
+        log.write(Event.CALL_FAILED, "forwarding", id=str(number))
+    lines = read_all(reader)
+    assert len(lines) == MAX_LINES_PER_S
+    clock.advance(1_000.0)
+    log.write(Event.STARTED, "gateway")
+    report, started = read_all(reader)
+    assert report["counts"] == {"call_failed": 4 * MAX_LINES_PER_S}
+    assert started["event"] == "started"
+
+
+def test_stuck_reader_blocks_nothing_and_is_reported():
+    """Guards against a request that waits for whoever reads the logs, and against memory."""
+    reader, writer = os.pipe()
+    clock = VirtualClock(1_000.0)
+    log = EventLog("i0", clock, writer)
+    for _ in range(100):
+        clock.advance(1_000.0)
+        for _ in range(100):
+            log.write(Event.CALL_FAILED, "forwarding", text="x" * 200)
+    assert len(log._handler._buffer) <= MAX_BUFFER_BYTES
+    # The pipe ends within a line, the rest of which is written now.
+    data = read_bytes(reader)
+    log.flush()
+    clock.advance(1_000.0)
+    log.write(Event.STARTED, "gateway")
+    data += read_bytes(reader)
+    lines = [json.loads(line) for line in data.splitlines()]
+    assert any("dropped" in line.get("counts", {}) for line in lines)
+
+
+def test_reader_that_has_gone_stops_nothing():
+    """Guards against an instance that ends with its log's reader."""
+    reader, writer = os.pipe()
+    log = EventLog("i0", VirtualClock(), writer)
+    os.close(reader)
+    log.write(Event.STARTED, "gateway")
+
+
+LINES = [
+    {"time_ms": 500, "instance": "i0", "event": "upstream_listed", "upstream": "u1"},
+    {"time_ms": 600, "instance": "i0", "event": "upstream_listed", "upstream": "u9"},
+    {"time_ms": 700, "instance": "i0", "event": "store_lost", "reason": "status 503"},
+    {
+        "time_ms": 990,
+        "instance": "i0",
+        "event": "call_failed",
+        "id": "t1",
+        "upstream": "u1",
+        "service": "s0",
+        "fault": "misdirected",
+    },
+    {"time_ms": 995, "instance": "i0", "event": "request_ended", "id": "t2"},
+    {
+        "time_ms": 1000,
+        "instance": "i0",
+        "event": "request_ended",
+        "id": "t1",
+        "outcome": "partial",
+        "state_age_ms": 300,
+        "missing_parts": [["s0", ["u1"], "misdirected"]],
+    },
+]
+
+
+def test_story_of_a_request_names_the_stale_belief():
+    """Guards against a complaint that the logs don't explain."""
+    texts = ["no log line", "{cut", *(f"  1.2 i0 {json.dumps(line)}" for line in reversed(LINES))]
+    story = explain("t1", read_lines(texts))
+    assert [line["event"] for line in story.lines] == ["call_failed", "request_ended"]
+    assert [line["event"] for line in story.state] == ["upstream_listed", "store_lost"]
+    assert any("another upstream has taken over" in finding for finding in story.findings)
+    assert any("part s0 is missing" in finding for finding in story.findings)
+    assert any("store was lost" in finding for finding in story.findings)
+
+
+def test_command_prints_the_story_or_says_that_there_is_none(tmp_path):
+    """Guards against an exit code that scripts can't use."""
+    path = tmp_path / "log"
+    path.write_text("\n".join(map(json.dumps, LINES)))
+    found = CliRunner().invoke(main, ["t1", str(path)])
+    assert found.exit_code == 0 and "request t1" in found.output
+    as_json = CliRunner().invoke(main, ["--json", "t1", str(path)])
+    assert json.loads(as_json.output)["request_id"] == "t1"
+    assert CliRunner().invoke(main, ["t7", str(path)]).exit_code == 1
+
+
+def test_metrics_page_holds_counts_gauges_and_latencies():
+    """Guards against metrics that no collector can read."""
+    counts = Counts()
+    counts.add("requests", "answered")
+    counts.add("call_faults", "broken", 3)
+    counts.observe("r", "answered", 60.0)
+    text = render(counts, {"configuration_version": 7}).decode()
+    assert "citronpaddle_configuration_version 7.0" in text
+    assert 'citronpaddle_call_faults_total{kind="broken"} 3.0' in text
+    assert (
+        'citronpaddle_request_seconds_bucket{le="0.075",outcome="answered",route="r"} 1.0' in text
+    )
+    assert 'le="0.05",outcome="answered",route="r"} 0.0' in text
