--- a/citronpaddle/adapters/eventlog.py
+++ b/citronpaddle/adapters/eventlog.py
@@ -60,6 +60,11 @@
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether a line would surely be kept."""
+        return len(self._buffer) < MAX_BUFFER_BYTES // 2
+
     def emit(self, record: logging.LogRecord) -> None:
         line = record.getMessage().encode() + b"\n"
         if len(self._buffer) + len(line) > MAX_BUFFER_BYTES:
@@ -119,7 +124,8 @@
         if self._handler.dropped:
             self._suppressed["dropped"] += self._handler.dropped
             self._handler.dropped = 0
-        if self._suppressed:
+        # A report that is lost itself would take its counts with it.
+        if self._suppressed and self._handler.has_room:
             counts = dict(self._suppressed)
             self._suppressed.clear()
             self._emit(Event.LINES_SUPPRESSED, "log", {"counts": counts})
