--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -139,6 +139,8 @@
     error: Reply | None = None
     open: dict[int, Call] = field(default_factory=dict)
     tried: list[str] = field(default_factory=list)
+    # Upstreams that got the request, of which a route allows so many.
+    used: set[str] = field(default_factory=set)
     calls: int = 0
     resume_ms: float = 0.0
     # Ended calls that an upstream may have run.
@@ -313,6 +315,8 @@
         )
         part = self._parts[call.part]
         part.last_fault = fault.value
+        if not call.is_sent or fault is Fault.MISDIRECTED:
+            part.used.discard(call.upstream.id)
         actions: list[Action] = []
         if self.outcome is not None or part.is_done:
             return actions
@@ -338,7 +342,7 @@
                     reason = FIRST_CALL if part.calls == 0 else "retry"
                     self._call(index, now_ms, reason, actions)
             else:
-                self._hedge(index, now_ms, actions)
+                self._review(index, now_ms, actions)
         self._decide(now_ms)
         return actions
 
@@ -352,8 +356,8 @@
                 continue
             if not part.open:
                 due_ms = min(due_ms, max(part.resume_ms, now_ms + ROOM_RECHECK_MS))
-            elif not part.is_hedged:
-                due_ms = min(due_ms, max(self._find_hedge_time(part), now_ms + 1.0))
+            elif (part_due_ms := self._find_due_time(part)) is not None:
+                due_ms = min(due_ms, max(part_due_ms, now_ms + 1.0))
         return due_ms
 
     def end_unsent(self, now_ms: float) -> list[Action]:
@@ -378,57 +382,69 @@
             actions.append(Cancel(call))
         return actions
 
-    def _find_hedge_time(self, part: _Part) -> float:
-        first = next(iter(part.open.values()))
-        if self.route.is_idempotent:
-            return first.started_ms + self._late_ms
-        return first.started_ms + CONNECT_PATIENCE_MS
+    def _find_due_time(self, part: _Part) -> float | None:
+        """Return when something is due for a part with open calls, or None."""
+        waiting = self._find_unsent(part)
+        if waiting is not None:
+            return waiting.started_ms + min(CONNECT_PATIENCE_MS, self._late_ms)
+        if part.is_hedged or not self.route.is_idempotent:
+            return None
+        return next(iter(part.open.values())).started_ms + self._late_ms
 
-    def _hedge(self, index: int, now_ms: float, actions: list[Action]) -> None:
+    def _find_unsent(self, part: _Part) -> Call | None:
+        return next((call for call in part.open.values() if not call.is_sent), None)
+
+    def _review(self, index: int, now_ms: float, actions: list[Action]) -> None:
+        """Replace a call that finds no connection, or hedge a late one."""
         part = self._parts[index]
-        if part.is_hedged or now_ms < self._find_hedge_time(part):
+        due_ms = self._find_due_time(part)
+        if due_ms is None or now_ms < due_ms:
             return
-        first = next(iter(part.open.values()))
-        if not self.route.is_idempotent:
-            part.is_hedged = True
-            if first.is_sent:
-                return
-            # Nothing has left yet, so another upstream can take the call over.
-            self._end(first)
-            self._tools.selector.note_failure(first.upstream.id, first.id, now_ms, True)
-            actions.append(Cancel(first))
-            part.is_hedged = False
-            self._call(index, now_ms, "connect", actions)
+        waiting = self._find_unsent(part)
+        if waiting is not None:
+            self._replace(waiting, now_ms, actions)
+        else:
+            self._hedge(index, now_ms, actions)
+
+    def _replace(self, call: Call, now_ms: float, actions: list[Action]) -> None:
+        """Let another upstream take over a call of which nothing has left."""
+        part = self._parts[call.part]
+        self._end(call)
+        self._tools.selector.note_failure(call.upstream.id, call.id, now_ms, True)
+        actions.append(Cancel(call))
+        part.used.discard(call.upstream.id)
+        part.last_fault = Fault.UNREACHABLE.value
+        if part.open:
             return
-        if first.is_sent:
-            self._tools.hints.note_late(first.upstream.id, now_ms - first.started_ms, now_ms)
-        if len(part.tried) >= self.route.max_upstreams:
-            part.is_hedged = True
+        if part.calls >= MAX_CALLS:
+            self._finish_part(part)
+        else:
+            self._call(call.part, now_ms, "connect", actions)
+
+    def _hedge(self, index: int, now_ms: float, actions: list[Action]) -> None:
+        part = self._parts[index]
+        part.is_hedged = True
+        first = next(iter(part.open.values()))
+        self._tools.hints.note_late(first.upstream.id, now_ms - first.started_ms, now_ms)
+        if len(part.used) >= self.route.max_upstreams:
             return
-        service = part.service
-        avoid = part.tried
-        choice = self._tools.selector.choose(service, now_ms, self._late_ms, avoid)
+        choice = self._tools.selector.choose(part.service, now_ms, self._late_ms, part.tried)
         if choice is None or not choice.is_promising:
-            part.is_hedged = True
-            return
-        if first.is_sent and not self._tools.extra_load.spend(service, now_ms, True):
-            part.is_hedged = True
             return
-        part.is_hedged = True
-        self._send(index, choice.upstream, now_ms, "hedge", actions)
+        if self._tools.extra_load.spend(part.service, now_ms, True):
+            self._send(index, choice.upstream, now_ms, "hedge", actions)
 
     def _call(self, index: int, now_ms: float, reason: str, actions: list[Action]) -> None:
         """Call an upstream for this part; without room at one the part waits."""
         part = self._parts[index]
         selector = self._tools.selector
-        full = len(part.tried) >= self.route.max_upstreams
         choice = None
-        if not full:
+        if len(part.used) < self.route.max_upstreams:
             choice = selector.choose(part.service, now_ms, self._late_ms, part.tried)
-        if choice is None and part.tried and self.route.max_upstreams > 1:
+        if choice is None and part.tried:
             # All have been tried: the one of them that looks best may be over its trouble.
-            others = self._list_others(part)
-            choice = selector.choose(part.service, now_ms, self._late_ms, others)
+            barred = self._list_barred(part)
+            choice = selector.choose(part.service, now_ms, self._late_ms, barred)
         if choice is None:
             if not selector.is_listed(part.service):
                 part.last_fault = part.last_fault or "no_upstream"
@@ -443,12 +459,12 @@
         part.is_hopeful = choice.is_promising
         self._send(index, choice.upstream, now_ms, reason, actions)
 
-    def _list_others(self, part: _Part) -> list[str]:
+    def _list_barred(self, part: _Part) -> list[str]:
         """Return the upstreams that the part may not use: it has used as many others already."""
-        if len(part.tried) < self.route.max_upstreams:
+        if len(part.used) < self.route.max_upstreams:
             return []
-        registry = self._tools.selector
-        return [name for name in registry.list_ids(part.service) if name not in part.tried]
+        listed = self._tools.selector.list_ids(part.service)
+        return [name for name in listed if name not in part.used]
 
     def _send(
         self, index: int, upstream: Upstream, now_ms: float, reason: str, actions: list[Action]
@@ -458,6 +474,7 @@
         part.calls += 1
         part.open[call.id] = call
         self._calls[call.id] = call
+        part.used.add(upstream.id)
         if upstream.id not in part.tried:
             part.tried.append(upstream.id)
         self._tools.selector.note_sent(upstream, call.id, now_ms)
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -61,7 +61,9 @@
     log.flush()
     clock.advance(1_000.0)
     log.write(Event.STARTED, "gateway")
-    data += read_bytes(reader)
+    for _ in range(3):
+        data += read_bytes(reader)
+        log.flush()
     lines = [json.loads(line) for line in data.splitlines()]
     assert any("dropped" in line.get("counts", {}) for line in lines)
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -237,3 +237,35 @@
         call.id for call in unsent
     }
     assert not exchange.open_calls
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize("fault", [Fault.UNREACHABLE, Fault.MISDIRECTED])
+def test_upstreams_that_never_got_the_request_do_not_count(fault, is_idempotent):
+    """Guards against giving a request up while a sound upstream is left.
+
+    Load: three of four upstreams are dark, or their addresses have gone to others; a request may
+    run at two. Found in the log of a day: 22 connections to two dark upstreams, then a refusal.
+    """
+    upstreams = [make_upstream(name) for name in ("u0", "u1", "u2", "u3")]
+
+    def script(call, now_ms):
+        if call.upstream.id == "u3":
+            return succeed()
+        return fail(fault, 900.0 if fault is Fault.UNREACHABLE else 5.0)
+
+    for _ in range(5):
+        world = World(upstreams, script)
+        route = make_single_route(is_idempotent=is_idempotent, objective_ms=500.0)
+        outcome, took_ms = world.run(route)
+        assert isinstance(outcome, Answered)
+        assert took_ms < 500.0
+
+
+def test_request_to_dark_upstreams_alone_is_refused_soon():
+    """Guards against holding a request while connection after connection is tried."""
+    world = World(PAIR, lambda call, now_ms: fail(Fault.UNREACHABLE, 900.0))
+    route = make_single_route(is_idempotent=False, objective_ms=2_000.0, timeout_ms=8_000.0)
+    outcome, took_ms = world.run(route, deadline_ms=8_000.0)
+    assert isinstance(outcome, Refused)
+    assert took_ms <= 500.0
