--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -294,7 +294,7 @@
         held = registry.get(upstream_id)
         if held is not None and held.born_ms != found.born_ms:
             self._selector.forget(upstream_id)
-        if registry.put(found):
+        if registry.put(found) and not _is_same(held, found):
             self._log.write(
                 Event.UPSTREAM_LISTED,
                 "fleet",
@@ -405,3 +405,10 @@
             self._log.write(Event.LEASE_LOST, "fleet", lease=self._lease and self._lease.id)
             self._lease = None
         return result if isinstance(result, StoreFailure) else None
+
+
+def _is_same(held: Upstream | None, found: Upstream) -> bool:
+    """Return whether an entry tells nothing new but how long its upstream stays cold."""
+    return held is not None and held == found._replace(
+        cold_until_ms=held.cold_until_ms, sequence=held.sequence
+    )
