--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -100,7 +100,6 @@
         self._deliver: Callable[[Outcome], None] | None = deliver
         self._dispatches: dict[int, Dispatch] = {}
         self._timer: asyncio.TimerHandle | None = None
-        self._is_applying = False
 
     def start(self) -> None:
         """Send the first calls."""
@@ -157,7 +156,9 @@
         result = self._forwarder.codec.decode_response(self.request.content, response, is_part)
         now_ms = self._clock.now_ms()
         if isinstance(result, Reply):
-            self._apply(self.exchange.handle_reply(call, result, now_ms))
+            self.exchange.handle_reply(call, result, now_ms)
+            if self.exchange.outcome is not None:
+                self._finish()
         else:
             self._note_fault(call, result, now_ms)
 
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -239,14 +239,17 @@
         self.soft_end_ms = received_ms + route.objective_ms - path_ms - margin_ms
         self._tools = tools
         self._parts = [_Part(service) for service in services]
+        # Counted rather than looked up: a query of 88 parts asks at each of its replies.
         self._waiting = len(self._parts)
+        self._hopeful = len(self._parts)
+        self._parts_in = 0
         self._late_ms = tools.latencies.find_late(route, received_ms)
         self._calls: dict[int, Call] = {}
 
     @property
     def parts_in(self) -> int:
         """Return how many parts have an answer."""
-        return sum(1 for part in self._parts if part.reply is not None)
+        return self._parts_in
 
     @property
     def open_calls(self) -> list[Call]:
@@ -286,8 +289,8 @@
         """Note that bytes of this call may have left."""
         call.is_sent = True
 
-    def handle_reply(self, call: Call, reply: Reply, now_ms: float) -> list[Action]:
-        """Take a good answer of an upstream."""
+    def handle_reply(self, call: Call, reply: Reply, now_ms: float) -> None:
+        """Take a good answer of an upstream; no call follows from it."""
         self._end(call)
         took_ms = now_ms - call.started_ms
         slowness = self._tools.selector.note_answer(
@@ -299,9 +302,9 @@
         part = self._parts[call.part]
         if part.reply is None and self.outcome is None:
             part.reply = reply
+            self._parts_in += 1
             self._finish_part(part)
             self._decide(now_ms)
-        return []
 
     def handle_failure(self, call: Call, failure: CallFailure, now_ms: float) -> list[Action]:
         """Take the end of a call without an answer; a repeat is due at once or later."""
@@ -347,7 +350,7 @@
         return actions
 
     def next_time_ms(self, now_ms: float) -> float:
-        """Return when `handle_time` is due next."""
+        """Return when `handle_time` is due next; a reply alone never makes it due sooner."""
         due_ms = self.end_ms
         if self._is_gather and now_ms < self.soft_end_ms:
             due_ms = min(due_ms, self.soft_end_ms)
@@ -456,6 +459,7 @@
             if not self._tools.extra_load.spend(part.service, now_ms, False):
                 self._finish_part(part)
                 return
+        self._hopeful += choice.is_promising - part.is_hopeful
         part.is_hopeful = choice.is_promising
         self._send(index, choice.upstream, now_ms, reason, actions)
 
@@ -505,6 +509,7 @@
         if not part.is_done:
             part.is_done = True
             self._waiting -= 1
+            self._hopeful -= part.is_hopeful
 
     def _suffices(self, count: int) -> bool:
         # The share is a decimal fraction: 0.9 of 10 must not come out above 9.
@@ -518,13 +523,10 @@
         elif now_ms >= self.end_ms:
             self.outcome = self._build_outcome(True)
         elif self._is_gather and self._waiting < len(self._parts):
-            open_parts = [part for part in self._parts if not part.is_done]
             is_time = now_ms >= self.soft_end_ms
             if not is_time:
-                self._is_waiting_for_time = self._suffices(self.parts_in)
-            if (is_time or not any(part.is_hopeful for part in open_parts)) and self._suffices(
-                self.parts_in
-            ):
+                self._is_waiting_for_time = self._suffices(self._parts_in)
+            if (is_time or not self._hopeful) and self._suffices(self._parts_in):
                 self.outcome = self._build_outcome(False)
                 if is_time and self._is_waiting_for_time:
                     self._tools.latencies.note_overrun(now_ms - self.soft_end_ms)
