--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
+# Tests and features that run side by side.
+JOBS ?= 4
 
 .PHONY: setup generate format lint test unit features demo deployment-trineo deployment-spantwerk clean
 
@@ -27,10 +29,14 @@
 	$(BIN)/lint-imports
 
 unit: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS)
 
+# One process per feature, each with ports of its own; a feature that fails is printed whole.
 features: setup
-	$(BIN)/behave --no-color --format plain tests/features
+	mkdir -p build/features
+	printf '%s\n' $(notdir $(wildcard tests/features/*.feature)) | xargs -P $(JOBS) -I{} sh -c \
+		'$(BIN)/behave --no-color --format plain tests/features/{} >build/features/{}.txt 2>&1 \
+		&& { echo {}; tail -n 4 build/features/{}.txt; } || { cat build/features/{}.txt; exit 1; }'
 
 test: lint unit features
 
--- a/citronpaddle/policy/slowstart.py
+++ b/citronpaddle/policy/slowstart.py
@@ -29,10 +29,15 @@
         self._name = name
         self._instances: tuple[str, ...] = (name,)
         self._next_ms: dict[str, float] = {}
+        # This instance's place among all for an upstream, kept since it is asked for every call.
+        self._ranks: dict[str, int] = {}
 
     def set_instances(self, names: tuple[str, ...]) -> None:
         """Share cold upstreams out among these instances."""
-        self._instances = names or (self._name,)
+        names = names or (self._name,)
+        if names != self._instances:
+            self._instances = names
+            self._ranks.clear()
 
     def set_limits(self, limits: ColdLimits) -> None:
         """Take over other limits."""
@@ -54,12 +59,17 @@
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an upstream that is gone or warm."""
+        self._ranks.pop(upstream_id, None)
         self._next_ms.pop(upstream_id, None)
 
     def _find_interval(self, upstream_id: str, rate_per_s: float) -> float | None:
         """Return the ms between two requests of this instance, or None if it is not chosen."""
         bound = rate_per_s * self._limits.overshoot + self._limits.slack
         users = max(1, min(len(self._instances), math.floor(bound - rate_per_s)))
-        if self._name not in rank_candidates(upstream_id, self._instances)[:users]:
+        rank = self._ranks.get(upstream_id)
+        if rank is None:
+            ranked = rank_candidates(upstream_id, {*self._instances, self._name})
+            rank = self._ranks[upstream_id] = ranked.index(self._name)
+        if rank >= users:
             return None
         return 1_000.0 * users / rate_per_s
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,10 +6,10 @@
 import asyncio
 import json
 import os
-import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
+from cluster import find_port
 from platformworld import World
 
 from citronpaddle.adapters.eventlog import EventLog
@@ -129,22 +129,6 @@
         )
 
 
-def find_port() -> int:
-    """Return a port of loopback that is free, below the range of outgoing connections."""
-    for port in range(18_000, 30_000):
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            if port not in _taken:
-                _taken.add(port)
-                return port
-    raise OSError("no free port")
-
-
-_taken: set[int] = set()
 SINGLE = {"prefix": "/p/", "service": "s0"}
 UNSAFE = {"prefix": "/u/", "service": "s0", "kind": "unsafe"}
 GATHER = {"prefix": "/q/", "fanout_services": ["s0", "s1"], "top_k": 3, "min_shard_ratio": 0.5}
