--- a/tests/features/snapshot.feature
+++ b/tests/features/snapshot.feature
@@ -9,6 +9,7 @@
     And queries run through all instances from 4 threads each
 
   Scenario: versions roll at one upstream after the other
+    Given a complete answer of version 1 is seen
     When upstream u1 gets {"versions": [1, 2]}
     And 1 s pass
     And upstream u1 gets {"versions": [2]}
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -23,6 +23,18 @@
     context.traffic = Traffic(context.cluster, names, threads, 0.01, count)
 
 
+@step("a complete answer of version {version:d} is seen")
+def wait_for_version(context, version):
+    """Begin only when the version is served: a change before that would hide it from everybody."""
+    end_s = time.monotonic() + 20
+    while time.monotonic() < end_s:
+        records = list(context.traffic.records)
+        if any(r.is_complete and r.body["snapshot"]["version"] == version for r in records):
+            return
+        time.sleep(0.02)
+    raise AssertionError(f"no complete answer of version {version} among {len(records)}")
+
+
 @step("{seconds:g} s pass")
 def wait(context, seconds):
     time.sleep(seconds)
