--- /dev/null
+++ b/citronpaddle/calllog.py
@@ -0,0 +1,43 @@
+"""Logs and counts what happens to the calls of exchanges."""
+
+from .adapters.counts import Counts
+from .adapters.eventlog import Event, EventLog
+from .clock import Clock
+from .forwarding import CallObserver, RoutedRequest
+from .policy.exchange import Call, CallFailure
+
+
+class CallLog(CallObserver):
+    """Logs and counts what happens to calls."""
+
+    def __init__(self, clock: Clock, log: EventLog, counts: Counts) -> None:
+        self._clock = clock
+        self._log = log
+        self._counts = counts
+
+    def note_repeat(self, request: RoutedRequest, call: Call) -> None:
+        self._counts.add("call_repeats", call.reason)
+        self._log.write(
+            Event.CALL_REPEATED,
+            "forwarding",
+            id=request.id,
+            service=call.upstream.service,
+            upstream=call.upstream.id,
+            reason=call.reason,
+            after_ms=round(call.started_ms - request.received_ms, 1),
+        )
+
+    def note_fault(self, request: RoutedRequest, call: Call, failure: CallFailure) -> None:
+        self._counts.add("call_faults", failure.fault.value)
+        self._log.write(
+            Event.CALL_FAILED,
+            "forwarding",
+            id=request.id,
+            service=call.upstream.service,
+            upstream=call.upstream.id,
+            reason=call.reason,
+            fault=failure.fault.value,
+            status=failure.reply.status if failure.reply else None,
+            was_sent=call.is_sent,
+            after_ms=round(self._clock.now_ms() - call.started_ms, 1),
+        )
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -233,9 +233,8 @@
         self.observer = observer
         self.runs: set[Run] = set()
 
-    def forward(self, request: RoutedRequest, deliver: Callable[[Outcome], None]) -> Run:
-        """Start an exchange; `deliver` is called once with its outcome, unless it is left."""
+    def open(self, request: RoutedRequest, deliver: Callable[[Outcome], None]) -> Run:
+        """Return an exchange to start; `deliver` gets its outcome once, unless it is left."""
         run = Run(self, request, deliver)
         self.runs.add(run)
-        run.start()
         return run
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -3,13 +3,12 @@
 import asyncio
 import itertools
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .adapters.connections import Address, ConnectionPool
 from .adapters.counts import Counts, render
 from .adapters.eventlog import Event, EventLog
-from .adapters.hintchannel import HintChannel, encode
 from .adapters.httpserver import (
     CallerConnection,
     Connections,
@@ -17,14 +16,14 @@
     HttpRequest,
     Service,
 )
+from .calllog import CallLog
 from .clock import Clock
 from .fleet import Fleet, FleetState, FleetTimes, StateDecoder
-from .forwarding import CallCodec, CallObserver, Forwarder, RoutedRequest, Run
-from .policy.active import MIN_ACTIVE, ActiveSet
+from .forwarding import CallCodec, Forwarder, RoutedRequest, Run
+from .peering import Peering, join_address
 from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
-from .policy.exchange import Answered, Call, CallFailure, Latencies, Outcome, Tools
+from .policy.exchange import Answered, Latencies, Outcome, Tools
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
-from .policy.hints import GATHER_MS, Hint, Hints
 from .policy.members import Member, Members
 from .policy.registry import Registry
 from .policy.selection import Selector
@@ -43,15 +42,8 @@
 BACKLOG = 512
 # The way to a caller and back where the kernel does not tell: two round trips within a domain.
 UNKNOWN_PATH_MS = 10.0
-# For this long after the start, upstreams may still hold connections of a predecessor.
-YOUNG_MS = 10_000.0
-# Share of a new observation in the mean lateness of timers, and how often others are told of it.
-STRAIN_WEIGHT = 0.2
-REPORT_MS = 1_000.0
 # The part of the time for a new configuration that a change may wait for the next watch.
 WATCH_SHARE = 0.3
-# How often it is looked at whether hints are of use.
-HINTS_REVIEW_MS = 2_000.0
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
 # On a stop, how often it is checked whether callers have gone, and the time for the last answer.
@@ -112,42 +104,6 @@
         """Return the answer to a caller that asks for addresses."""
 
 
-class CallLog(CallObserver):
-    """Logs and counts what happens to calls."""
-
-    def __init__(self, clock: Clock, log: EventLog, counts: Counts) -> None:
-        self._clock = clock
-        self._log = log
-        self._counts = counts
-
-    def note_repeat(self, request: RoutedRequest, call: Call) -> None:
-        self._counts.add("call_repeats", call.reason)
-        self._log.write(
-            Event.CALL_REPEATED,
-            "forwarding",
-            id=request.id,
-            service=call.upstream.service,
-            upstream=call.upstream.id,
-            reason=call.reason,
-            after_ms=round(call.started_ms - request.received_ms, 1),
-        )
-
-    def note_fault(self, request: RoutedRequest, call: Call, failure: CallFailure) -> None:
-        self._counts.add("call_faults", failure.fault.value)
-        self._log.write(
-            Event.CALL_FAILED,
-            "forwarding",
-            id=request.id,
-            service=call.upstream.service,
-            upstream=call.upstream.id,
-            reason=call.reason,
-            fault=failure.fault.value,
-            status=failure.reply.status if failure.reply else None,
-            was_sent=call.is_sent,
-            after_ms=round(self._clock.now_ms() - call.started_ms, 1),
-        )
-
-
 class Gateway:
     """Everything of one instance."""
 
@@ -168,7 +124,6 @@
         self._log = log
         self._codec = caller_codec
         self._is_leaving = False
-        self._started_ms = clock.now_ms()
         self._rotations: dict[tuple[str, tuple[WeightedService, ...]], WeightedRotation] = {}
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[asyncio.Server] = []
@@ -176,12 +131,11 @@
         self.connections = Connections()
         own = Member(
             settings.name,
-            _join(settings.callers_address),
+            join_address(settings.callers_address),
             settings.domain,
-            _join(settings.hints_address),
+            join_address(settings.hints_address),
         )
-        members = Members(own)
-        self.state = FleetState(Registry(), members)
+        self.state = FleetState(Registry(), Members(own))
         self._slow_start = SlowStart(settings.cold, settings.name)
         self._selector = Selector(
             self.state.registry,
@@ -192,15 +146,20 @@
         )
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
         self._pool = ConnectionPool(clock)
-        self._active = ActiveSet()
-        self._hints = Hints(self._selector, self._schedule_hints)
-        self._channel = HintChannel(self._take_message, self._refuse_message)
-        self._peers: list[Address] = []
-        self._strain_ms = 0.0
-        self._is_active = False
-        self._reported_ms = 0.0
+        self._peering = Peering(
+            clock,
+            log,
+            self.state.members,
+            self._selector,
+            self._extra_load,
+            self._slow_start,
+        )
         tools = Tools(
-            self._selector, self._extra_load, Latencies(), itertools.count(1), self._hints
+            self._selector,
+            self._extra_load,
+            Latencies(),
+            itertools.count(1),
+            self._peering.hints,
         )
         self._forwarder = Forwarder(
             clock, call_codec, self._pool, tools, CallLog(clock, log, self.counts)
@@ -241,7 +200,7 @@
             if address is not None:
                 self._servers.append(await self._listen(address, service))
         if settings.hints_address is not None:
-            await self._channel.open(settings.hints_address)
+            await self._peering.open(settings.hints_address)
         self._fleet.start()
         self._keep_running(self._tick())
         self._log.write(
@@ -268,7 +227,7 @@
         for task in self._tasks:
             task.cancel()
         await self._fleet.stop()
-        self._channel.close()
+        self._peering.close()
         self._pool.close()
         self._log.write(Event.STOPPED, "gateway", took_ms=round(self._clock.now_ms() - started_ms))
         self._log.flush()
@@ -321,8 +280,7 @@
             connection.answer(self._codec.make_answer(routed, outcome))
             self._note_outcome(routed, version, outcome, run)
 
-        run = Run(self._forwarder, routed, deliver)
-        self._forwarder.runs.add(run)
+        run = self._forwarder.open(routed, deliver)
         run.start()
         return run
 
@@ -331,7 +289,7 @@
         domain = self._codec.find_resolve_domain(request)
         if domain is None:
             return HttpAnswer(404, (), b"not found")
-        addresses = self.state.members.list_addresses(domain, self.is_ready, self._active.choose)
+        addresses = self.state.members.list_addresses(domain, self.is_ready, self._peering.choose)
         return self._codec.make_addresses(addresses, self._settings.keep_s)
 
     def render_metrics(self) -> bytes:
@@ -344,7 +302,7 @@
             "upstreams": len(self.state.registry),
             "instances": len(self.state.members.list_names()),
             "requests_in_progress": self.connections.count_busy(),
-            "timer_lateness_seconds": self._strain_ms / 1_000,
+            "timer_lateness_seconds": self._peering.strain_ms / 1_000,
             "upstream_connections_opened": self._pool.opened,
         }
         return render(self.counts, gauges)
@@ -371,22 +329,22 @@
         )
 
     async def _tick(self) -> None:
-        reviewed_ms = self._clock.now_ms()
         while True:
             slept_ms = self._clock.now_ms()
             await asyncio.sleep(TICK_MS / 1_000)
-            now_ms = self._clock.now_ms()
-            late_ms = now_ms - slept_ms - TICK_MS
-            self._strain_ms += STRAIN_WEIGHT * (late_ms - self._strain_ms)
-            self.connections.check_times(now_ms)
-            self._pool.close_stale()
-            self._fleet.tick()
-            self._share()
-            self._log.flush()
-            if now_ms - reviewed_ms >= HINTS_REVIEW_MS:
-                calls, upstreams = self._selector.count_calls()
-                self._hints.review(calls, upstreams, now_ms - reviewed_ms)
-                reviewed_ms = now_ms
+            try:
+                self._maintain(self._clock.now_ms() - slept_ms - TICK_MS)
+            except Exception as error:
+                self._log.write(Event.INTERNAL_ERROR, "gateway", reason=repr(error))
+
+    def _maintain(self, late_ms: float) -> None:
+        """Do what is due now and then; the timer fired `late_ms` late."""
+        self.connections.check_times(self._clock.now_ms())
+        self._pool.close_stale()
+        self._fleet.tick()
+        self._peering.note_lateness(late_ms)
+        self._peering.review()
+        self._log.flush()
 
     def _keep_running(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -399,52 +357,12 @@
             self._log.write(Event.INTERNAL_ERROR, "gateway", reason=repr(task.exception()))
 
     def _apply_change(self) -> None:
-        self._share()
+        self._peering.review()
         if self.state.catalog is not None:
             routes = {(route.name, route.targets) for route in self.state.catalog.routes}
             for key in self._rotations.keys() - routes:
                 del self._rotations[key]
 
-    def _share(self) -> None:
-        """Share budgets and connections out among the instances known."""
-        now_ms = self._clock.now_ms()
-        names = self.state.members.list_recent(now_ms)
-        members = self.state.members.list_members()
-        self._active.review(members, now_ms)
-        share = self._active.measure_share(self._settings.name, members, names)
-        self._extra_load.set_share(share)
-        self._selector.set_share(share, now_ms - self._started_ms < YOUNG_MS)
-        self._slow_start.set_instances(names)
-        own = self.state.members.own
-        active = self._active.choose(members)
-        self._is_active = own.name in {member.name for member in active}
-        self._peers = _list_hints_addresses(active, own)
-        if now_ms - self._reported_ms >= REPORT_MS and self._is_active:
-            self._reported_ms = now_ms
-            self._report_strain(members, own)
-
-    def _report_strain(self, members: list[Member], own: Member) -> None:
-        """Tell those that answer callers of this domain how this instance does."""
-        near = [member for member in members if member.domain == own.domain]
-        if len(near) > MIN_ACTIVE:
-            message = encode(own.name, self._strain_ms, [])
-            self._channel.send(message, _list_hints_addresses(near, own))
-
-    def _schedule_hints(self) -> None:
-        asyncio.get_running_loop().call_later(GATHER_MS / 1_000, self._send_hints)
-
-    def _send_hints(self) -> None:
-        message = encode(self._settings.name, self._strain_ms, self._hints.take())
-        self._channel.send(message, self._peers)
-
-    def _take_message(self, sender: str, strain_ms: float, hints: list[Hint]) -> None:
-        now_ms = self._clock.now_ms()
-        self._active.note_strain(sender, strain_ms, now_ms)
-        self._hints.apply(hints, now_ms)
-
-    def _refuse_message(self, reason: str) -> None:
-        self._log.write(Event.HINTS_REFUSED, "gateway", reason=reason)
-
     def _choose_service(self, route: Route) -> str:
         if len(route.targets) == 1:
             return route.targets[0].service
@@ -502,20 +420,6 @@
         )
 
 
-def _join(address: Address | None) -> str:
-    return f"{address[0]}:{address[1]}" if address else ""
-
-
-def _list_hints_addresses(members: Iterable[Member], own: Member) -> list[Address]:
-    """Return where the members other than `own` hear hints."""
-    found: list[Address] = []
-    for member in members:
-        host, _, port = member.hints_address.rpartition(":")
-        if member.name != own.name and host and port.isdigit():
-            found.append((host, int(port)))
-    return found
-
-
 class _GatewayService(Service):
     def __init__(self, gateway: Gateway, connections: Connections) -> None:
         self._gateway = gateway
--- a/citronpaddle/platform/entry.py
+++ b/citronpaddle/platform/entry.py
@@ -76,9 +76,11 @@
     except PlatformSettingsError as error:
         print(f"settings: {error}", file=sys.stderr)
         return ExitStatus.BAD_DOCUMENT
-    if "--check" in sys.argv[1:]:
-        print(f"{path}: settings of instance {settings.name} are valid")
-        return ExitStatus.OK
+    if sys.argv[1:]:
+        # click is loaded only for options, which a serving process has none of.
+        from .options import check
+
+        return check(path, settings)
     return asyncio.run(run(settings, path))
 
 
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -61,7 +61,7 @@
     if name not in table:
         return None
     host, _, port = _take(table, name, str).rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
         raise PlatformSettingsError(f"{name} must be host:port")
     return host, int(port)
 
