Say goodbye to peers before their connections are closed

Cause: a stopping instance of the product's own interface closed the connections of its peers as soon as its last lease was released. A request that crossed the close ended as outcome_unknown at the peer, which fails an order and takes a part from a query. The index of the peers still names the instance for up to a second, so that under load one of a thousand requests met this moment. Ruled out: the reply lost in the write buffer alone (the test also fails with replies flushed); unread frames whose close resets the connection are the other half. Change: a frame kind goodbye. The server sends it, goes on handling what arrives, and closes when its peers have closed or after a second. A client takes no new request on such a connection.

--- a/citronpaddle/adapters/frames.py
+++ b/citronpaddle/adapters/frames.py
@@ -40,6 +40,7 @@
     PULL_CONFIG = 8
     ORDER = 9
     HAND_OVER = 10
+    GOODBYE = 11
 
 
 # Frames that carry callers' work; all others are control traffic.
--- a/citronpaddle/adapters/peers.py
+++ b/citronpaddle/adapters/peers.py
@@ -18,6 +18,9 @@
 # An idle connection is closed in place of being tested for ever: pings over connections to all of
 # 1,100 instances would take more than half a core. Renewals and heartbeats come every 1,000 ms.
 IDLE_LIMIT_MS = 3_000
+# A stopping instance waits this long for its peers to take their last replies: a few round trips,
+# and the stop of a peer's process that is found out by SILENCE_LIMIT_MS.
+GOODBYE_LIMIT_MS = 1_000
 
 _LOST = Failure(ErrorKind.OUTCOME_UNKNOWN, "the connection to the peer was lost")
 
@@ -72,6 +75,7 @@
         self._used_ms = self._heard_ms
         self._pings: set[int] = set()
         self._next_delivery_ms = 0.0
+        self._is_ending = False
         self.is_open = True
         self._tasks = [
             asyncio.create_task(self._receive()),
@@ -92,6 +96,7 @@
     def forget(self, frame_id: int) -> None:
         """Drop a request whose replies are no longer wanted; late ones are ignored."""
         self._waiting.pop(frame_id, None)
+        self._close_if_ended()
 
     def close(self, outcome: Failure = _LOST) -> None:
         """Close the connection; every waiting request gets `outcome`."""
@@ -138,6 +143,9 @@
             self.close()
 
     def _accept(self, frame: "protocol.Frame") -> None:
+        if frame.kind == FrameKind.GOODBYE and not frame.reply:
+            self._end()
+            return
         waiting = self._waiting.get(frame.id)
         if waiting is None or not frame.reply:
             return
@@ -145,6 +153,16 @@
             del self._waiting[frame.id]
         waiting.replies.put_nowait((frame.body, frame.last))
 
+    def _end(self) -> None:
+        """Take no new request, and close once nobody waits: the peer is stopping."""
+        self._is_ending = True
+        self._on_close(self)
+        self._close_if_ended()
+
+    def _close_if_ended(self) -> None:
+        if self._is_ending and self._pings.issuperset(self._waiting):
+            self.close()
+
     async def _ping(self) -> None:
         while True:
             due_ms = self._clock.now_ms() + PING_INTERVAL_MS
@@ -298,6 +316,7 @@
         self._handlers = handlers
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._all_gone = asyncio.Event()
 
     async def start(self, host: str, port: int) -> str:
         """Listen and return the address as `host:port`; raise OSError if that fails."""
@@ -306,14 +325,33 @@
         return f"{host}:{port}"
 
     async def close(self) -> None:
-        """Stop listening and close every connection."""
+        """Stop listening, let peers take the replies they wait for, and close every connection.
+
+        A request that crosses the goodbye is still handled: a connection that breaks under it would
+        leave the peer without knowing whether it ran.
+        """
         if self._server is not None:
             self._server.close()
+        goodbye = encode_frame(protocol.Frame(id=0, kind=int(FrameKind.GOODBYE), body=b""))
+        for writer in self._writers:
+            writer.write(goodbye)
+        await self._wait_for_peers(GOODBYE_LIMIT_MS)
         for writer in list(self._writers):
             writer.transport.abort()
         if self._server is not None:
             await self._server.wait_closed()
 
+    async def _wait_for_peers(self, limit_ms: float) -> None:
+        if not self._writers:
+            return
+        self._all_gone.clear()
+        try:
+            async with asyncio.timeout(limit_ms / 1_000):
+                await self._all_gone.wait()
+        except TimeoutError:
+            # A peer that is paused or cut off does not close; its connection is aborted.
+            return
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         running: set[asyncio.Task[None]] = set()
@@ -335,5 +373,7 @@
         finally:
             # Handlers go on: an order that was started must be brought to its end.
             self._writers.discard(writer)
+            if not self._writers:
+                self._all_gone.set()
             with suppress(OSError):
                 writer.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,7 +5,7 @@
 from citronpaddle.adapters.frames import FrameKind
 from citronpaddle.adapters.peers import FrameClient, PeerServer
 from citronpaddle.clock import VirtualClock
-from citronpaddle.errors import Failure
+from citronpaddle.errors import ErrorKind, Failure
 
 
 async def _answer(body, replier):
@@ -55,3 +55,44 @@
             await server.close()
 
     asyncio.run(run())
+
+
+def test_a_stopping_server_answers_the_requests_that_cross_its_goodbye():
+    """Peers call without a pause while the server stops: a lost reply would be a doubtful order."""
+
+    async def run():
+        async def answer_soon(body, replier):
+            await asyncio.sleep(0.002)
+            replier.send(body)
+
+        outcomes = []
+        clients = [FrameClient(VirtualClock()) for _ in range(8)]
+
+        async def call_on(client, number):
+            while True:
+                outcome = await client.call(address, FrameKind.ORDER, b"%d" % number, 1000)
+                outcomes.append(outcome)
+                if isinstance(outcome, Failure):
+                    return
+
+        for _ in range(5):
+            server = PeerServer({FrameKind.ORDER: answer_soon})
+            address = await server.start("127.0.0.1", 0)
+            calls = [
+                asyncio.create_task(call_on(client, number))
+                for number in range(4)
+                for client in clients
+            ]
+            answered = len(outcomes) + 200
+            while len(outcomes) < answered:
+                await asyncio.sleep(0.01)
+            await server.close()
+            await asyncio.gather(*calls)
+        for client in clients:
+            await client.close()
+        return outcomes
+
+    outcomes = asyncio.run(run())
+    failures = [outcome.kind for outcome in outcomes if isinstance(outcome, Failure)]
+    assert len(failures) == 5 * 32
+    assert set(failures) == {ErrorKind.UPSTREAM_UNAVAILABLE}, failures
