Pass no promise on that an upstream has not made, and no encoded body

A 503, 429 or 408 of an upstream without its word that the request has not run went to the caller unchanged, who reads it as a promise. A body in an encoding was passed on or merged as the upstream's own. A redirection counted as a failure and was repeated. Ruled out: that the exchange decides on it; it never sees status codes. Change: such answers count as errors or garbled answers where responses are decoded; 3xx is an answer. Result: five new cases in test_gateway fail before and pass after.

--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -30,6 +30,9 @@
 _DEADLINE_KEY = DEADLINE.lower()
 _SET_HERE = frozenset({_DEADLINE_KEY, EXPECTED_UPSTREAM.lower()})
 _MAX_DEADLINE_MS = 86_400_000
+# Statuses that promise a caller that its request has not run, which an upstream does with
+# NOT_EXECUTED only: without that header they are not passed on.
+_PROMISES = frozenset({408, 421, 429, 503})
 
 READY_PATH = b"/citronpaddle/ready"
 RESOLVE_PATH = b"/citronpaddle/resolve"
@@ -121,26 +124,40 @@
     def decode_response(
         self, request: CallContent, response: HttpResponse, is_part: bool
     ) -> Reply | CallFailure:
-        signature = b""
-        is_rejected = False
-        for name, value in response.headers:
-            key = name.lower()
-            if key == _SIGNATURE_KEY:
-                signature = value.strip()
-            elif key == NOT_EXECUTED:
-                is_rejected = True
+        signature, is_rejected, is_encoded = _read_marks(response)
         if response.status == 421:
             return CallFailure(Fault.MISDIRECTED)
         if is_rejected:
             return CallFailure(Fault.REJECTED)
+        if is_encoded:
+            # Callers ask for no encoding: these bytes are not the upstream's body.
+            return CallFailure(Fault.GARBLED)
+        if response.status in _PROMISES:
+            return CallFailure(Fault.ERROR)
         reply = Reply(response.status, response.headers, response.body, signature)
         if 200 <= response.status < 300:
             return reply if signature else CallFailure(Fault.GARBLED)
-        if 400 <= response.status < 500 and not is_part and response.status not in (408, 429):
+        if 300 <= response.status < 500 and not is_part:
             return reply
         return CallFailure(Fault.ERROR, reply)
 
 
+def _read_marks(response: HttpResponse) -> tuple[bytes, bool, bool]:
+    """Return the signature, whether the upstream rejected the call, and whether it is encoded."""
+    signature = b""
+    is_rejected = False
+    is_encoded = False
+    for name, value in response.headers:
+        key = name.lower()
+        if key == _SIGNATURE_KEY:
+            signature = value.strip()
+        elif key == NOT_EXECUTED:
+            is_rejected = True
+        elif key == b"content-encoding":
+            is_encoded = value.strip().lower() != b"identity"
+    return signature, is_rejected, is_encoded
+
+
 def make_answer(request: RoutedRequest, outcome: Outcome) -> HttpAnswer:
     """Return the answer to the caller for the outcome of its request."""
     if isinstance(outcome, Answered):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -264,6 +264,66 @@
     play(script)
 
 
+@pytest.mark.parametrize("status", [503, 429, 408])
+def test_promise_of_an_upstream_that_ran_the_request_is_not_passed_on(status):
+    """Guards against REFUSED: these statuses promise that nothing ran, the upstream does not."""
+
+    async def script(site):
+        def answer(request, connection):
+            upstream = next(u for u in site.world.upstreams.values() if connection.owner is u)
+            upstream.runs.append(request)
+            connection.reply(status, upstream.make_headers(request), b"failed")
+            return True
+
+        for upstream in site.world.upstreams.values():
+            upstream.answer = answer
+        got, headers, _ = await site.ask(method="POST", path="/u/x", body=b"order")
+        assert len(list_runs(site)) == 1
+        assert got == 502 and "citronpaddle-server-stamp" not in headers
+
+    play(script)
+
+
+def test_encoded_answer_is_not_taken_for_the_upstreams_own():
+    """Guards against MIXED: callers ask for no encoding, so an encoded body is not the body."""
+
+    async def script(site):
+        def answer(request, connection):
+            headers = connection.owner.make_headers(request)
+            connection.reply(200, headers | {"Content-Encoding": "gzip"}, connection.owner.body)
+            return True
+
+        site.world.upstreams["a"].answer = answer
+        site.world.upstreams["c"].answer = answer
+        for number in range(6):
+            status, headers, _ = await site.ask(path="/p/x", attempt=f"e{number}")
+            assert status == 200 and "content-encoding" not in headers
+            status, headers, body = await site.ask(path="/q/x", attempt=f"g{number}")
+            assert status == 200 and headers["citronpaddle-missing-parts"] == "1"
+            assert len(body) == 2 * 16
+
+    play(script)
+
+
+def test_redirection_of_an_upstream_is_its_answer():
+    """Guards against a retry of an answer that is neither a success nor a failure."""
+
+    async def script(site):
+        def answer(request, connection):
+            connection.owner.runs.append(request)
+            headers = connection.owner.make_headers(request)
+            connection.reply(307, headers | {"Location": "/p/y"}, b"")
+            return True
+
+        for upstream in site.world.upstreams.values():
+            upstream.answer = answer
+        status, headers, _ = await site.ask(path="/p/x")
+        assert status == 307 and headers["location"] == "/p/y"
+        assert len(list_runs(site)) == 1
+
+    play(script)
+
+
 def test_answer_of_another_request_is_not_taken():
     """Guards against MIXED: an extra answer comes late, where the next one is due."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -66,26 +66,29 @@
             replier.send(body)
 
         outcomes = []
+        many_answered = asyncio.Event()
         clients = [FrameClient(VirtualClock()) for _ in range(8)]
 
-        async def call_on(client, number):
+        async def call_on(client, address, number, enough):
             while True:
                 outcome = await client.call(address, FrameKind.ORDER, b"%d" % number, 1000)
                 outcomes.append(outcome)
+                if len(outcomes) >= enough:
+                    many_answered.set()
                 if isinstance(outcome, Failure):
                     return
 
         for _ in range(5):
+            many_answered.clear()
+            enough = len(outcomes) + 200
             server = PeerServer({FrameKind.ORDER: answer_soon})
             address = await server.start("127.0.0.1", 0)
             calls = [
-                asyncio.create_task(call_on(client, number))
+                asyncio.create_task(call_on(client, address, number, enough))
                 for number in range(4)
                 for client in clients
             ]
-            answered = len(outcomes) + 200
-            while len(outcomes) < answered:
-                await asyncio.sleep(0.01)
+            await many_answered.wait()
             await server.close()
             await asyncio.gather(*calls)
         for client in clients:
