--- a/citronpaddle/policy/registry.py
+++ b/citronpaddle/policy/registry.py
@@ -145,6 +145,13 @@
                 self._upstreams[upstream.id] = upstream._replace(cold_until_ms=until_ms)
         self._by_service.clear()
 
+    def mark_upstream_cold(self, upstream_id: str, until_ms: float) -> None:
+        """Treat one upstream as cold until then, unless its entry says that it is for longer."""
+        held = self._upstreams.get(upstream_id)
+        if held is not None and held.cold_until_ms < until_ms:
+            self._upstreams[upstream_id] = held._replace(cold_until_ms=until_ms)
+            self._by_service.pop(held.service, None)
+
     def _drop(self, upstream_id: str) -> None:
         held = self._upstreams.pop(upstream_id)
         self._missing_since.pop(upstream_id, None)
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -193,6 +193,9 @@
         slowness = min(_MAX_SLOWNESS, took_ms / max(1.0, usual_ms))
         record.slowness += _SLOWNESS_WEIGHT * (slowness - record.slowness)
         record.failure_rate -= _FAILURE_WEIGHT * record.failure_rate
+        if record.block_ms > 0:
+            # It may have started at any moment since the last call.
+            self._suspect_cold(upstream_id, now_ms)
         record.block_ms = 0.0
         record.blocked_until_ms = 0.0
         return slowness
@@ -207,9 +210,20 @@
         record.fade(now_ms)
         record.failure_rate += _FAILURE_WEIGHT * (1.0 - record.failure_rate)
         if is_unreachable:
+            self._suspect_cold(upstream_id, now_ms)
             record.block_ms = min(_MAX_BLOCK_MS, max(_FIRST_BLOCK_MS, 2 * record.block_ms))
             record.blocked_until_ms = now_ms + record.block_ms
 
+    def _suspect_cold(self, upstream_id: str, now_ms: float) -> None:
+        """Treat an unreachable upstream as cold: it may be starting anew before its entry says so.
+
+        An instance that is cut off from the store never reads that entry.
+        """
+        upstream = self._registry.get(upstream_id)
+        limits = self._get_limits(upstream.service) if upstream is not None else None
+        if limits is not None and limits.cold_rate_per_s > 0:
+            self._registry.mark_upstream_cold(upstream_id, now_ms + limits.cold_ms)
+
     def note_misplaced(self, upstream: Upstream, now_ms: float) -> None:
         """Leave an upstream alone whose address answers for another one."""
         self._registry.note_misplaced(upstream, now_ms)
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,275 @@
+"""The stand-ins of a soak: a store that misbehaves, upstreams behind proxies, an operator."""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+from random import Random
+
+from platformworld import HttpStandIn, Request, StoreStandIn, UpstreamStandIn, World, make_route
+
+from .promises import COLD_PER_S, MAX_UPSTREAMS, MIN_COVERAGE, TIMEOUT_MS, TOP_K
+from .proxy import FaultProxy
+from .records import Arrival, Given, History, Version, now_ms
+
+DOMAINS = ("a", "b", "c")
+SLOTS = 4
+QUEUE = 12
+COLD_MS = 3_000.0
+# Share of the requests that an upstream in a fault treats badly.
+FAULT_SHARE = 0.4
+
+
+class SoakUpstream(UpstreamStandIn):
+    """An upstream with slots and a queue; `mode` names the fault that it has at present."""
+
+    def __init__(self, name: str, service: str, domain: str, history: History, random: Random):
+        super().__init__(name, [random.getrandbits(100) for _ in range(4)])
+        self.service = service
+        self.domain = domain
+        self.mode = ""
+        self.born = int(time.time() * 1_000)
+        self.is_leaving = False
+        self._history = history
+        self._random = random
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._taken = 0
+        self._count = 0
+
+    async def handle(self, request: Request, connection: HttpStandIn) -> None:
+        if request.headers.get("citronpaddle-expect-instance", self.id) != self.id:
+            connection.reply(421, {"Citronpaddle-Instance-Id": self.id}, b"")
+            return
+        attempt = request.headers.get("citronpaddle-attempt-id", "")
+        fault = self.mode if self._random.random() < FAULT_SHARE else ""
+        rejects = fault == "shed" or self._taken >= SLOTS + QUEUE
+        arrival = Arrival(
+            attempt,
+            self.id,
+            self.service,
+            self.domain,
+            request.method,
+            request.target,
+            request.body,
+            now_ms(),
+            not rejects,
+        )
+        self._history.arrivals.append(arrival)
+        if rejects:
+            connection.reply(503, {"Citronpaddle-Not-Executed": "1"}, b"")
+            return
+        self._taken += 1
+        try:
+            async with self._slots:
+                work_ms = self._random.uniform(2.0, 12.0) * (8.0 if self.mode == "slow" else 1.0)
+                await asyncio.sleep(work_ms / 1_000)
+        finally:
+            self._taken -= 1
+        self._answer(attempt, request, connection, fault)
+
+    def _answer(self, attempt: str, request: Request, connection: HttpStandIn, fault: str) -> None:
+        if fault == "reset":
+            connection.transport.abort()
+            return
+        if fault == "mute":
+            return
+        if fault == "other":
+            # A second answer to an earlier request, where this one's is due.
+            connection.reply(200, {"Citronpaddle-Attempt-Id": "earlier"}, b"earlier")
+        status = {"errors": 500, "promise": 503}.get(fault, 200)
+        body = self.body if status == 200 else b"failed"
+        self._count += 1
+        signature = f"{self.id}.{self.born}.{attempt}.{self._count}"
+        self._history.given[signature] = Given(attempt, self.service, status, body)
+        headers = {"Citronpaddle-Server-Stamp": signature, "Citronpaddle-Attempt-Id": attempt}
+        if fault == "encoded":
+            headers["Content-Encoding"] = "gzip"
+            body = b"\x1f\x8b" + body
+        if self.is_leaving:
+            headers["Connection"] = "close"
+        if fault == "truncated":
+            lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
+            head = f"HTTP/1.1 200 OK\r\n{''.join(lines)}Content-Length: {len(body)}\r\n\r\n"
+            connection.transport.write(head.encode() + body[: len(body) // 2])
+            connection.transport.close()
+            return
+        connection.reply(status, headers, body)
+        if fault == "extra":
+            connection.reply(200, headers, b"extra")
+
+
+@dataclass
+class SoakStore(StoreStandIn):
+    """A store that can be slow, lose answers after the write, and forget its history."""
+
+    delay_s: float = 0.0
+    loses_answers: bool = False
+    floor: int = 0
+
+    def forget_history(self) -> None:
+        """Drop the history: watches that need it get 410."""
+        self.events.clear()
+        self.floor = self.revision
+
+    async def handle(self, request: Request, connection: HttpStandIn) -> None:
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.loses_answers and request.method != "GET":
+            await self._answer_call(request)
+            connection.transport.abort()
+            return
+        await super().handle(request, connection)
+
+    async def _answer_call(self, request: Request) -> None:
+        call = request.target.partition("?")[0].removeprefix("/citronpaddle/").split("/")
+        await self._answer(call, {}, json.loads(request.body or b"{}"))
+
+    async def _watch(self, query):
+        if int(query["after"]) < self.floor:
+            return 410, {}
+        return await super()._watch(query)
+
+
+class SoakWorld(World):
+    """Upstreams behind proxies of their own; the operator's versions go into the history."""
+
+    def __init__(self, history: History, random: Random, shards: int) -> None:
+        super().__init__()
+        self.store = SoakStore()
+        self.history = history
+        self.random = random
+        self.shards = shards
+        self.proxies: dict[str, FaultProxy] = {}
+        self.index = "s"
+        self.moved_to = "u0"
+        self.extra_routes: list[str] = []
+        self._serial = 0
+
+    def list_shards(self, index: str = "") -> list[str]:
+        """Return the services of an index, the present one if none is named."""
+        return [f"{index or self.index}{number}" for number in range(self.shards)]
+
+    async def stop(self) -> None:
+        for proxy in self.proxies.values():
+            proxy.stop()
+        await super().stop()
+
+    async def start_upstream(
+        self,
+        service: str,
+        domain: str,
+        is_cold: bool,
+        proxy: FaultProxy | None = None,
+        name: str = "",
+    ) -> SoakUpstream:
+        """Start and list an upstream; it takes over `proxy`, and so its address, if one is given.
+
+        With the `name` of one that has ended it is the same one started anew.
+        """
+        if not name:
+            self._serial += 1
+            name = f"{service}-{self._serial}"
+        upstream = SoakUpstream(name, service, domain, self.history, self.random)
+        await upstream.start()
+        target = ("127.0.0.1", upstream.port)
+        proxy = proxy or FaultProxy(target)
+        proxy.target = target
+        await proxy.start()
+        self.proxies[name] = proxy
+        self.upstreams[name] = upstream
+        self.history.ended_upstreams.pop(name, None)
+        self.history.left_ms.pop(name, None)
+        self.publish(upstream, COLD_MS if is_cold else 0.0)
+        if is_cold:
+            self.history.cold[name] = (now_ms(), now_ms() + COLD_MS)
+        return upstream
+
+    def publish(self, upstream: SoakUpstream, cold_ms: float = 0.0) -> None:
+        """Write the entry of an upstream."""
+        if upstream.is_leaving:
+            self.history.left_ms.setdefault(upstream.id, now_ms())
+        self.list_upstream(
+            upstream,
+            upstream.service,
+            address=f"127.0.0.1:{self.proxies[upstream.id].port}",
+            zone=upstream.domain,
+            slots=SLOTS,
+            state="draining" if upstream.is_leaving else "ready",
+            warmup_left_ms=cold_ms,
+            born=upstream.born,
+            sequence=self.store.revision,
+        )
+
+    async def end_upstream(self, upstream: SoakUpstream) -> None:
+        """Stop an upstream; its entry stays."""
+        self.history.ended_upstreams[upstream.id] = now_ms()
+        self.upstreams.pop(upstream.id, None)
+        # Where nobody listens, connections are refused.
+        self.proxies[upstream.id].stop()
+        await upstream.stop()
+
+    def unlist(self, name: str) -> None:
+        """Remove the entry of an upstream, unless it has started anew."""
+        if name not in self.upstreams:
+            self.store.delete(f"servers/{name}")
+            self.history.left_ms.setdefault(name, now_ms())
+
+    def list_service(self, service: str) -> list[SoakUpstream]:
+        """Return the running upstreams of a service."""
+        return [item for item in self.upstreams.values() if item.service == service]
+
+    def apply(self) -> None:
+        """Write the next version of the operator's configuration."""
+        routes = [
+            make_route(prefix="/p/", service="u0"),
+            make_route(prefix="/u/", service="u0", kind="unsafe"),
+            make_route(
+                prefix="/q/",
+                fanout_services=self.list_shards(),
+                top_k=TOP_K,
+                min_shard_ratio=MIN_COVERAGE,
+            ),
+            make_route(prefix="/r/", service=self.moved_to),
+            make_route(
+                prefix="/w/",
+                traffic_split=[
+                    {"service": "u0", "weight": 3.0},
+                    {"service": "u1", "weight": 1.0},
+                ],
+            ),
+            *(make_route(prefix=prefix, service="u1") for prefix in self.extra_routes),
+        ]
+        services = {"u0", "u1", *self.list_shards("s"), *self.list_shards("t")}
+        self.version += self.random.randint(1, 3)
+        document = {
+            "version": self.version,
+            "routes": [
+                route | {"timeout_ms": TIMEOUT_MS, "max_attempts": MAX_UPSTREAMS}
+                for route in routes
+            ],
+            "services": [
+                {
+                    "name": name,
+                    "health_path": "/h",
+                    "max_connections": 60,
+                    "warmup_s": COLD_MS / 1_000,
+                    "warmup_per_s": COLD_PER_S,
+                }
+                for name in sorted(services)
+            ],
+            "limits": {
+                "max_header_bytes": 4096,
+                "max_body_bytes": 65536,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000,
+            },
+        }
+        self.store.write("op/config", json.dumps(document).encode())
+        table = {route["prefix"]: _list_services(route) for route in routes}
+        self.history.versions.append(Version(self.version, now_ms(), table))
+
+
+def _list_services(route: dict) -> frozenset[str]:
+    names = [*route.get("fanout_services", ())]
+    names += [part["service"] for part in route.get("traffic_split", ())]
+    return frozenset(names or [route["service"]])
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,6 +12,7 @@
     succeed,
 )
 
+from citronpaddle.policy.catalog import ServiceLimits
 from citronpaddle.policy.exchange import Answered, Failed, Fault, Refused
 from citronpaddle.policy.extraload import ExtraLoadLimits
 
@@ -289,3 +290,26 @@
     assert sum(call.upstream.service == "s0" for _, call in world.calls) == 2
     world.registry.put(make_upstream("a0", born_ms=2, port=7))
     assert world.selector.list_ids("s0") == ["a0"]
+
+
+def test_upstream_that_was_unreachable_gets_the_rate_of_a_cold_one_after_its_return():
+    """Guards against FAILBACK by an instance that is cut off from the store: no entry tells it.
+
+    The only upstream crashes at 2 s and is back, cold for 3 s, at 4 s; 40 requests a second go on.
+    It is called again up to 2 s after its return, which must not count as a part of its cold time.
+    """
+    back_ms = 104_000.0
+
+    def script(call, now_ms):
+        is_down = 102_000.0 <= now_ms < back_ms
+        return fail(Fault.UNREACHABLE, 1.0) if is_down else succeed()
+
+    limits = {"s0": ServiceLimits("s0", 26, 3_000.0, 10.0)}
+    world = World(PAIR[:1], script, instances=1, services=limits)
+    while world.now_ms < 110_000.0:
+        started_ms = world.now_ms
+        world.run(make_single_route(), deadline_ms=40.0)
+        world.now_ms = max(world.now_ms, started_ms + 25.0)
+    cold = [at for at, _ in world.calls if back_ms <= at < back_ms + 3_000.0]
+    assert len(cold) >= 10, "it is used again"
+    assert max(sum(1 for at in cold if 0 <= at - first < 1_000.0) for first in cold) <= 20
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,8 @@
 """The platform's settings and documents: what is read, what is refused and how."""
 
 import json
+import os
+import signal
 import socket
 import subprocess
 import sys
@@ -93,6 +95,25 @@
     assert words in done.stdout + done.stderr
 
 
+def test_hangup_during_the_start_does_not_end_the_process(tmp_path):
+    """Guards against an exit by a SIGHUP that comes while the settings are read for the first time.
+
+    The settings file is a pipe, so that the process is surely at that point.
+    """
+    path = tmp_path / "local.toml"
+    os.mkfifo(path)
+    command = [sys.executable, "-m", "citronpaddle.platform.entry"]
+    environment = {"CITRONPADDLE_CONFIG": str(path), "PATH": "/usr/bin:/bin"}
+    with subprocess.Popen(command, env=environment, stderr=subprocess.PIPE) as process:
+        try:
+            with open(path, "w") as settings:
+                process.send_signal(signal.SIGHUP)
+                settings.write("nothing of use")
+            assert process.wait(60) == 3, process.stderr.read()
+        finally:
+            process.kill()
+
+
 ROUTE = {"name": "r", "host": "H.Example", "prefix": "/p/", "timeout_ms": 900, "kind": "safe"}
 
 
