Catch up with a long history of the store without pauses

Cause: after nine seconds without the store, an instance on the grown sites had 2,500 changes to read (the index was cut anew meanwhile). A watch brings 1,000 at most, and the instance paused 1.5 s between two; besides, the check for silent watches gave up, every 4 s, a watch that only waited for its interval. Ruled out: refused reads (the store's rate was not reached), the retry pause (1 s), and decoding (a page takes 20 ms). Change: a watch with 100 changes or more is followed by the next one at once. A watch is silent only if nothing came for its interval and a second more. Result: two cases in test_fleet fail before and pass after.

--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -29,6 +29,9 @@
 )
 
 MEMBER_PREFIX = "citronpaddle/instances/"
+# A watch that brings this many changes may have been cut to the store's largest answer, about 1,000
+# changes or 1 MB: the rest is asked for at once.
+MANY_CHANGES = 100
 # Pauses of all instances after a failure differ by this share, so that they don't call at once.
 RETRY_SPREAD = 0.5
 
@@ -47,10 +50,10 @@
     lease_ms: float = 4_000.0
     # The part of a lease after which it is renewed: one renewal may fail.
     renew_share: float = 0.4
-    # How often the store's revision is compared with what the watch has brought, and how long the
-    # watch may take to bring it. A read that may be stale costs a tenth of a call.
+    # How often the store's revision is compared with what the watch has brought, and how long after
+    # its interval the watch may take to bring it. A read that may be stale costs a tenth of a call.
     check_ms: float = 4_000.0
-    check_patience_ms: float = 1_500.0
+    check_patience_ms: float = 1_000.0
 
 
 class StateDecoder(ABC):
@@ -196,7 +199,7 @@
             if changes.items:
                 self._on_change()
             left_ms = self._times.watch_interval_ms - (self._clock.now_ms() - called_ms)
-            if left_ms > 0:
+            if left_ms > 0 and len(changes.items) < MANY_CHANGES:
                 await asyncio.sleep(left_ms / 1_000)
 
     async def _call_watch(self, after: int) -> StoreChanges | HistoryLost | StoreFailure:
@@ -218,8 +221,12 @@
             revision = await self._store.read_revision()
             if isinstance(revision, StoreFailure):
                 continue
-            await asyncio.sleep(self._times.check_patience_ms / 1_000)
-            if self._state.revision < revision and self._lost_since_ms is None:
+            before = self._state.revision
+            patience_ms = self._times.watch_interval_ms + self._times.check_patience_ms
+            await asyncio.sleep(patience_ms / 1_000)
+            # A watch that brings something is not silent, however far behind it is.
+            is_still = self._state.revision == before
+            if before < revision and is_still and self._lost_since_ms is None:
                 self._log.write(
                     Event.WATCH_SILENT, "fleet", known=self._state.revision, store=revision
                 )
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -18,7 +18,7 @@
     """One store for any number of instances.
 
     While `is_down`, calls fail. The next `swallow_watches` watches wait for ever. `log` holds the
-    name of every call.
+    name of every call. A watch brings `max_changes` at most.
     """
 
     def __init__(self) -> None:
@@ -28,6 +28,7 @@
         self.oldest = 0
         self.is_down = False
         self.swallow_watches = 0
+        self.max_changes = 1_000
         self.log: list[str] = []
         self._leases: dict[int, set[str]] = {}
         self._changed = asyncio.Event()
@@ -84,7 +85,12 @@
                 break
             self._changed.clear()
             await self._changed.wait()
-        return StoreFailure("down") if self.is_down else StoreChanges(found, self.revision)
+        if self.is_down:
+            return StoreFailure("down")
+        if len(found) > self.max_changes:
+            found = found[: self.max_changes]
+            return StoreChanges(found, found[-1].revision)
+        return StoreChanges(found, self.revision)
 
     async def grant_lease(self, ttl_ms: float) -> Lease | StoreFailure:
         self.log.append("grant_lease")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -74,13 +74,15 @@
 class Follower:
     """One instance's view of a store."""
 
-    def __init__(self, store: FakeStore, name: str = "i0") -> None:
+    def __init__(self, store: FakeStore, name: str = "i0", times: FleetTimes = TIMES) -> None:
         clock = SystemClock()
         random = RandomSource(1)
         self.state = FleetState(Registry(), Members(Member(name, f"{name}:80", "a")))
         slow_start = SlowStart(ColdLimits(1.5, 5.0), name)
         selector = Selector(self.state.registry, slow_start, lambda name: None, random.random)
-        log = EventLog(name, clock, os.open(os.devnull, os.O_WRONLY))
+        self._log_reader, log_writer = os.pipe()
+        os.set_blocking(self._log_reader, False)
+        log = EventLog(name, clock, log_writer)
         self.fleet = Fleet(
             clock,
             store,
@@ -90,9 +92,16 @@
             log,
             random.random,
             lambda: None,
-            TIMES,
+            times,
         )
 
+    def read_log(self) -> str:
+        """Return what was logged since the last call."""
+        try:
+            return os.read(self._log_reader, 65_536).decode()
+        except BlockingIOError:
+            return ""
+
     @property
     def version(self) -> int | None:
         """Return the version of the configuration in force."""
@@ -103,14 +112,16 @@
         return sorted(upstream.id for upstream in self.state.registry.list_available("s0"))
 
 
-def play(script: Callable[[FakeStore, Follower], Awaitable[None]]) -> None:
+def play(
+    script: Callable[[FakeStore, Follower], Awaitable[None]], times: FleetTimes = TIMES
+) -> None:
     """Run `script` with an instance that follows a store with one upstream."""
 
     async def run() -> None:
         store = FakeStore()
         store.write("op/config", make_config(1))
         store.write("servers/a", make_entry())
-        follower = Follower(store)
+        follower = Follower(store, times=times)
         follower.fleet.start()
         await expect(lambda: follower.version == 1)
         await expect(lambda: MEMBER_PREFIX + "i0" in store.items)
@@ -193,6 +204,42 @@
     play(script)
 
 
+def test_long_history_is_caught_up_without_pauses():
+    """Guards against CONFIG and DRAIN after an outage in which the index was cut anew.
+
+    Found on the grown sites (trouble-1): 2,500 changes came in pages of 1,000, each after a pause,
+    and the newest version was in force 7 s after the store's return.
+    """
+
+    async def script(store, follower):
+        store.max_changes = 200
+        store.is_down = True
+        store.write("servers/a", make_entry(sequence=2))
+        await expect(lambda: "store_lost" in follower.read_log())
+        for number in range(20_000):
+            store.write(f"servers/x{number % 50}", make_entry(sequence=number))
+        store.write("op/config", make_config(5))
+        store.is_down = False
+        # 100 pauses of 400 ms would take 40 s, twice the time that is waited at most.
+        await expect(lambda: follower.version == 5)
+
+    play(script, TIMES._replace(watch_interval_ms=400.0))
+
+
+def test_watch_that_is_behind_is_not_taken_for_silent():
+    """Guards against giving up, over and over, a watch that brings what it can."""
+
+    async def script(store, follower):
+        for number in range(100):
+            store.write("servers/a", make_entry(sequence=number))
+            await asyncio.sleep(0.01)
+        store.write("op/config", make_config(5))
+        await expect(lambda: follower.version == 5)
+        assert "watch_silent" not in follower.read_log()
+
+    play(script, TIMES._replace(watch_interval_ms=100.0, check_ms=10.0, lease_ms=60_000.0))
+
+
 def test_lost_history_is_read_anew():
     """Guards against changes that fall into a gap of the store's history."""
 
