Let two instances of a large failure domain read the store for the others

Ruled out: a longer interval between watches, which the bound of a new configuration leaves no room for; polling; a relay over connections, which costs more than it saves. Change: the two strongest instances in use of a domain of nine or more pass on what their watches bring, in datagrams, and their revision every 0.5 s. One that misses a change, is told of a large one or hears no watcher that the store answers reads the store itself.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Tests and features that run side by side.
 JOBS ?= 4
 
-.PHONY: setup generate format lint test known-red unit features demo deployment-trineo deployment-spantwerk clean
+.PHONY: setup generate format lint test known-red unit features soak demo deployment-trineo deployment-spantwerk clean
 
 setup: $(VENV)/.installed
 
@@ -42,6 +42,13 @@
 known-red: setup
 	-$(BIN)/behave --no-color --format plain --no-skipped --tags=known_red tests/features
 
+# The fault soak by hand: make soak SEED=1 RUNS=50 MINUTES=0.5
+SEED ?= 1
+RUNS ?= 1
+MINUTES ?= 0.5
+soak: setup
+	cd tests && ../$(BIN)/python -m soak --seed $(SEED) --runs $(RUNS) --minutes $(MINUTES)
+
 test: lint unit features known-red
 
 demo: setup
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -14,6 +14,7 @@
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
 from .policy.catalog import Catalog
+from .policy.feed import Feed, FeedBatch, Step, judge_batch
 from .policy.members import Member, Members
 from .policy.registry import Registry, Upstream
 from .policy.selection import Selector
@@ -54,6 +55,8 @@
     # its interval the watch may take to bring it. A read that may be stale costs a tenth of a call.
     check_ms: float = 4_000.0
     check_patience_ms: float = 1_000.0
+    # How often an instance that others read for looks whether they still do.
+    feed_check_ms: float = 250.0
 
 
 class StateDecoder(ABC):
@@ -89,6 +92,7 @@
     catalog: Catalog | None = None
     revision: int = 0
     heard_ms: float = 0.0
+    is_store_lost: bool = False
 
 
 class Fleet:
@@ -105,7 +109,10 @@
         draw: Callable[[], float],
         on_change: Callable[[], None],
         times: FleetTimes,
+        feed: Feed,
+        relay: Callable[[int, tuple[StoreItem, ...]], None],
     ) -> None:
+        """Call `on_change` after changes, `relay` with what a watch brought after a revision."""
         self._clock = clock
         self._store = store
         self._decoder = decoder
@@ -115,6 +122,10 @@
         self._draw = draw
         self._on_change = on_change
         self._times = times
+        self._feed = feed
+        self._relay = relay
+        # Set when others know of changes that did not reach this instance.
+        self._has_gap = asyncio.Event()
         # Set when the watch in progress may never answer.
         self._is_watch_suspect = asyncio.Event()
         self._lease: Lease | None = None
@@ -174,15 +185,18 @@
             self._note_answer()
             self._take_view(view)
             retry_ms = self._times.first_retry_ms
-            await self._watch(view.revision)
+            await self._watch()
 
-    async def _watch(self, after: int) -> None:
+    async def _watch(self) -> None:
         """Follow changes until the store has forgotten some."""
         retry_ms = self._times.first_retry_ms
         # When all instances start at once, their entries would end every first watch at once.
         await asyncio.sleep(self._times.watch_interval_ms / 1_000)
         while True:
+            if self._feed.is_fed(self._clock.now_ms()) and not await self._wait_for_gap():
+                continue
             called_ms = self._clock.now_ms()
+            after = self._state.revision
             changes = await self._call_watch(after)
             if isinstance(changes, HistoryLost):
                 self._log.write(Event.HISTORY_LOST, "fleet", after_revision=after)
@@ -192,16 +206,44 @@
                 continue
             self._note_answer()
             retry_ms = self._times.first_retry_ms
-            for item in changes.items:
-                self._take(item)
-            after = max(after, changes.revision)
-            self._state.revision = after
-            if changes.items:
-                self._on_change()
+            self._take_changes(changes.items, changes.revision)
+            self._relay(after, changes.items)
             left_ms = self._times.watch_interval_ms - (self._clock.now_ms() - called_ms)
             if left_ms > 0 and len(changes.items) < MANY_CHANGES:
                 await asyncio.sleep(left_ms / 1_000)
 
+    async def _wait_for_gap(self) -> bool:
+        """Return whether there are changes that this instance must read itself."""
+        try:
+            async with asyncio.timeout(self._times.feed_check_ms / 1_000):
+                await self._has_gap.wait()
+        except TimeoutError:
+            return False
+        self._has_gap.clear()
+        return True
+
+    def take_batch(self, sender: str, batch: FeedBatch) -> None:
+        """Take over what another instance has read of the store."""
+        now_ms = self._clock.now_ms()
+        self._feed.note(sender, batch, now_ms)
+        if self._state.revision == 0:
+            return
+        step = judge_batch(batch, self._state.revision)
+        if step is Step.GAP:
+            self._has_gap.set()
+        elif step is Step.NEXT:
+            self._state.heard_ms = max(self._state.heard_ms, now_ms - batch.age_ms)
+            self._take_changes(batch.changes, batch.to_revision)
+
+    def _take_changes(self, items: tuple[StoreItem, ...], revision: int) -> None:
+        known = self._state.revision
+        news = [item for item in items if item.revision > known]
+        for item in news:
+            self._take(item)
+        self._state.revision = max(known, revision)
+        if news:
+            self._on_change()
+
     async def _call_watch(self, after: int) -> StoreChanges | HistoryLost | StoreFailure:
         """Call the watch, and give it up when there is reason to think that it never answers."""
         self._is_watch_suspect.clear()
@@ -231,6 +273,7 @@
                     Event.WATCH_SILENT, "fleet", known=self._state.revision, store=revision
                 )
                 self._is_watch_suspect.set()
+                self._has_gap.set()
 
     async def _pause(self, failure: StoreFailure, retry_ms: float) -> float:
         """Wait before the next call; return how long to wait after a further failure."""
@@ -242,6 +285,7 @@
     def _note_lost(self, failure: StoreFailure) -> None:
         if self._lost_since_ms is None:
             self._lost_since_ms = self._clock.now_ms()
+            self._state.is_store_lost = True
             self._log.write(Event.STORE_LOST, "fleet", reason=failure.reason)
 
     def _note_answer(self) -> None:
@@ -250,6 +294,7 @@
         if self._lost_since_ms is not None:
             lost_ms = now_ms - self._lost_since_ms
             self._lost_since_ms = None
+            self._state.is_store_lost = False
             # A watch that was sent while the store was away may have been swallowed.
             self._is_watch_suspect.set()
             self._state.registry.note_store_return(now_ms)
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -24,6 +24,7 @@
 from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
 from .policy.exchange import Answered, Latencies, Outcome, Tools
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
+from .policy.feed import Feed
 from .policy.members import Member, Members
 from .policy.registry import Registry
 from .policy.selection import Selector
@@ -148,13 +149,16 @@
         )
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
         self._pool = ConnectionPool(clock)
+        feed = Feed(settings.name)
         self._peering = Peering(
             clock,
             log,
-            self.state.members,
+            self.state,
+            feed,
             self._selector,
             self._extra_load,
             self._slow_start,
+            lambda sender, batch: self._fleet.take_batch(sender, batch),
         )
         tools = Tools(
             self._selector,
@@ -179,6 +183,8 @@
                 lease_ms=max(FleetTimes().lease_ms, settings.min_lease_ms),
                 watch_interval_ms=WATCH_SHARE * settings.config_apply_ms,
             ),
+            feed,
+            self._peering.relay,
         )
 
     @property
--- a/citronpaddle/hints.thrift
+++ b/citronpaddle/hints.thrift
@@ -1,4 +1,4 @@
-/** What entry instances tell each other about upstreams, in datagrams that may be lost. */
+/** What entry instances tell each other, in datagrams that may be lost. */
 namespace py hints
 
 enum HintKind {
@@ -14,9 +14,27 @@
   3: double value,
 }
 
+/** A key of the store as it was written; without a value it was deleted. */
+struct Change {
+  1: string key,
+  2: optional binary value,
+  3: i64 revision,
+}
+
+/** The store's changes after one revision up to another, as a watcher has read them. */
+struct Feed {
+  1: i64 from_revision,
+  2: i64 to_revision,
+  /** How long ago the store last answered the watcher, in ms. */
+  3: double age_ms,
+  4: list<Change> changes,
+}
+
 struct Message {
   1: string sender,
   /** How late timers fire at the sender, in ms: its lack of processor time. */
   2: double strain_ms,
   3: list<Hint> hints,
+  /** Only from instances that read the store's changes for others. */
+  4: optional Feed feed,
 }
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -1,18 +1,21 @@
-"""What an instance has to do with the others: shares of common limits, hints, who is in use."""
+"""What an instance has to do with the others: common limits, hints, who is in use, the feed."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from .adapters.connections import Address
 from .adapters.eventlog import Event, EventLog
-from .adapters.hintchannel import HintChannel, encode
+from .adapters.hintchannel import HintChannel, PeerMessage, encode
 from .clock import Clock
+from .fleet import FleetState
 from .policy.active import REPORT_INTERVAL_MS, SMALL_DOMAIN, ActiveSet
 from .policy.extraload import ExtraLoad
-from .policy.hints import GATHER_MS, Hint, Hints
-from .policy.members import Member, Members
+from .policy.feed import WATCHERS, Feed, FeedBatch, split_changes
+from .policy.hints import GATHER_MS, Hints
+from .policy.members import Member
 from .policy.selection import Selector
 from .policy.slowstart import SlowStart
+from .statestore import StoreItem
 
 # For this long after the start, upstreams may still hold connections of a predecessor.
 YOUNG_MS = 10_000.0
@@ -29,22 +32,29 @@
         self,
         clock: Clock,
         log: EventLog,
-        members: Members,
+        state: FleetState,
+        feed: Feed,
         selector: Selector,
         extra_load: ExtraLoad,
         slow_start: SlowStart,
+        on_feed: Callable[[str, FeedBatch], None],
     ) -> None:
         self.strain_ms = 0.0
         self.hints = Hints(selector, self._schedule_hints)
         self._clock = clock
         self._log = log
-        self._members = members
+        self._state = state
+        self._members = state.members
+        self._feed = feed
+        self._on_feed = on_feed
         self._selector = selector
         self._extra_load = extra_load
         self._slow_start = slow_start
         self._active = ActiveSet()
         self._channel = HintChannel(self._take_message, self._refuse_message)
         self._peers: list[Address] = []
+        # The other instances of a large failure domain.
+        self._near: list[Address] = []
         self._started_ms = clock.now_ms()
         self._reported_ms = 0.0
         self._reviewed_ms = clock.now_ms()
@@ -74,10 +84,13 @@
         self._share(now_ms, members)
         active = self._active.choose(members)
         self._peers = _list_hints_addresses(active, own)
-        is_active = any(member.name == own.name for member in active)
-        if is_active and now_ms - self._reported_ms >= REPORT_INTERVAL_MS:
+        near = [member for member in members if member.domain == own.domain]
+        self._near = _list_hints_addresses(near, own) if len(near) > SMALL_DOMAIN else []
+        near_active = [member.name for member in active if member.domain == own.domain]
+        self._feed.set_watchers(near_active[:WATCHERS] if self._near else ())
+        if own.name in near_active and now_ms - self._reported_ms >= REPORT_INTERVAL_MS:
             self._reported_ms = now_ms
-            self._report_strain(members)
+            self._report(now_ms)
         if now_ms - self._reviewed_ms >= HINTS_REVIEW_MS:
             calls, upstreams = self._selector.count_calls()
             self.hints.review(calls, upstreams, now_ms - self._reviewed_ms)
@@ -90,25 +103,40 @@
         self._selector.set_share(share, now_ms - self._started_ms < YOUNG_MS)
         self._slow_start.set_instances(names)
 
-    def _report_strain(self, members: list[Member]) -> None:
+    def relay(self, from_revision: int, items: tuple[StoreItem, ...]) -> None:
+        """Pass changes that this instance has read on to those that it reads for."""
+        if not self._feed.is_watcher:
+            return
+        age_ms = self._clock.now_ms() - self._state.heard_ms
+        for batch in split_changes(from_revision, self._state.revision, items, age_ms):
+            self._tell_near(batch)
+
+    def _report(self, now_ms: float) -> None:
         """Tell those that answer callers of this domain how this instance does."""
-        own = self._members.own
-        near = [member for member in members if member.domain == own.domain]
-        if len(near) > SMALL_DOMAIN:
-            message = encode(own.name, self.strain_ms, [])
-            self._channel.send(message, _list_hints_addresses(near, own))
+        batch = None
+        if self._feed.is_watcher and not self._state.is_store_lost:
+            revision = self._state.revision
+            batch = FeedBatch(revision, revision, now_ms - self._state.heard_ms)
+        self._tell_near(batch)
+
+    def _tell_near(self, batch: FeedBatch | None) -> None:
+        if self._near:
+            message = PeerMessage(self._members.own.name, self.strain_ms, (), batch)
+            self._channel.send(encode(message), self._near)
 
     def _schedule_hints(self) -> None:
         asyncio.get_running_loop().call_later(GATHER_MS / 1_000, self._send_hints)
 
     def _send_hints(self) -> None:
-        message = encode(self._members.own.name, self.strain_ms, self.hints.take())
-        self._channel.send(message, self._peers)
+        message = PeerMessage(self._members.own.name, self.strain_ms, tuple(self.hints.take()))
+        self._channel.send(encode(message), self._peers)
 
-    def _take_message(self, sender: str, strain_ms: float, hints: list[Hint]) -> None:
+    def _take_message(self, message: PeerMessage) -> None:
         now_ms = self._clock.now_ms()
-        self._active.note_strain(sender, strain_ms, now_ms)
-        self.hints.apply(hints, now_ms)
+        self._active.note_strain(message.sender, message.strain_ms, now_ms)
+        self.hints.apply(message.hints, now_ms)
+        if message.feed is not None:
+            self._on_feed(message.sender, message.feed)
 
     def _refuse_message(self, reason: str) -> None:
         self._log.write(Event.HINTS_REFUSED, "peering", reason=reason)
--- a/citronpaddle/policy/hints.py
+++ b/citronpaddle/policy/hints.py
@@ -5,7 +5,7 @@
 harm, and a false one only makes another upstream a little more attractive. Times are in ms.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -61,7 +61,7 @@
         gathered, self._gathered = self._gathered, {}
         return list(gathered.values())[:MAX_HINTS]
 
-    def apply(self, hints: list[Hint], now_ms: float) -> None:
+    def apply(self, hints: Iterable[Hint], now_ms: float) -> None:
         """Take over what another instance has seen."""
         for hint in hints:
             if hint.kind is HintKind.LATE:
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,214 @@
+"""Two instances read the store's changes for a whole failure domain."""
+
+import asyncio
+import itertools
+
+from fakestore import FakeStore
+from hypothesis import given
+from hypothesis import strategies as st
+from test_fleet import TIMES, Follower, expect, make_config, make_entry
+
+from citronpaddle.adapters.hintchannel import MAX_BYTES, PeerMessage, encode
+from citronpaddle.clock import SystemClock
+from citronpaddle.policy.feed import (
+    MAX_AGE_MS,
+    MAX_BATCHES,
+    SILENT_MS,
+    Feed,
+    FeedBatch,
+    Step,
+    judge_batch,
+    split_changes,
+)
+from citronpaddle.statestore import StoreItem
+
+WATCHERS = ("i0", "i1")
+
+
+def test_batch_is_taken_only_if_nothing_is_left_out():
+    """Guards against CONFIG by a change that was lost on the way and is never missed."""
+    assert judge_batch(FeedBatch(5, 9, 0.0), known=9) is Step.KNOWN
+    assert judge_batch(FeedBatch(5, 9, 0.0), known=5) is Step.NEXT
+    assert judge_batch(FeedBatch(5, 9, 0.0), known=7) is Step.NEXT
+    assert judge_batch(FeedBatch(5, 9, 0.0), known=4) is Step.GAP
+    assert judge_batch(FeedBatch(9, 9, 0.0), known=8) is Step.GAP
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9_000) | st.none()), max_size=40),
+)
+def test_split_changes_are_whole_and_fit_datagrams(steps):
+    """Guards against a transaction torn apart, a change left out, a datagram that is refused."""
+    revision = 100
+    items = []
+    for step, size in steps:
+        revision += step
+        value = None if size is None else bytes(size)
+        items.append(StoreItem(f"servers/{len(items)}", value, max(101, revision)))
+    last = max([101, *(item.revision for item in items)]) + 1
+    batches = split_changes(100, last, items, 1.0)
+    assert len(batches) <= MAX_BATCHES + 1
+    assert batches[-1].to_revision == last
+    if batches[0].from_revision == last:
+        assert len(batches) == 1 and not batches[0].changes
+        return
+    assert batches[0].from_revision == 100
+    for before, after in itertools.pairwise(batches):
+        assert before.to_revision == after.from_revision
+        assert max(item.revision for item in before.changes) < after.changes[0].revision
+    assert [item for batch in batches for item in batch.changes] == items
+    for batch in batches:
+        assert len(encode(PeerMessage("front-cartago-a-1", 1.0, (), batch))) <= MAX_BYTES
+
+
+def test_watcher_that_the_store_does_not_answer_is_not_relied_on():
+    """Guards against CONFIG: a watcher that is cut off feeds nobody, nor one that is silent."""
+    feed = Feed("i9")
+    feed.set_watchers(WATCHERS)
+    assert not feed.is_fed(0.0)
+    feed.note("i0", FeedBatch(5, 5, 10.0), 0.0)
+    assert feed.is_fed(SILENT_MS - 1)
+    assert not feed.is_fed(SILENT_MS)
+    feed.note("i0", FeedBatch(5, 5, MAX_AGE_MS + 1), 2_000.0)
+    assert not feed.is_fed(2_001.0)
+    feed.note("i5", FeedBatch(5, 5, 10.0), 2_000.0)
+    assert not feed.is_fed(2_001.0), "no watcher of this domain"
+    feed.set_watchers(("i0", "i9"))
+    feed.note("i0", FeedBatch(5, 5, 10.0), 2_000.0)
+    assert not feed.is_fed(2_001.0), "a watcher reads for itself"
+
+
+class Domain:
+    """Instances that tell each other of changes; a message to one in `deaf` is lost."""
+
+    def __init__(self, store: FakeStore, count: int) -> None:
+        self.deaf: set[str] = set()
+        self.dead: set[str] = set()
+        self.followers: dict[str, Follower] = {}
+        times = TIMES._replace(lease_ms=60_000.0, check_ms=60_000.0, feed_check_ms=5.0)
+        for number in range(count):
+            name = f"i{number}"
+            feed = Feed(name)
+            feed.set_watchers(WATCHERS)
+            self.followers[name] = Follower(store, name, times, feed, self._make_relay(name))
+        self._beats = asyncio.create_task(self._beat())
+
+    async def start(self) -> None:
+        """Start all."""
+        for follower in self.followers.values():
+            follower.fleet.start()
+        await self.expect_version(1)
+
+    async def stop(self) -> None:
+        """Stop all that have not been killed."""
+        self._beats.cancel()
+        for name in self.followers.keys() - self.dead:
+            await self.followers[name].fleet.stop()
+
+    async def kill(self, name: str) -> None:
+        """End an instance."""
+        self.dead.add(name)
+        await self.followers[name].fleet.stop()
+
+    async def expect_version(self, version: int) -> None:
+        """Wait until all have a version of the configuration in force."""
+        alive = self.followers.keys() - self.dead
+        await expect(lambda: all(self.followers[name].version == version for name in alive))
+
+    def _make_relay(self, name: str):
+        def relay(after, items):
+            revision = self.followers[name].state.revision
+            for batch in split_changes(after, revision, items, 0.0):
+                self._send(name, batch)
+
+        return relay
+
+    def _send(self, sender: str, batch: FeedBatch) -> None:
+        if sender in WATCHERS and sender not in self.dead:
+            for name in self.followers.keys() - self.dead - self.deaf - {sender}:
+                self.followers[name].fleet.take_batch(sender, batch)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(0.01)
+            for name in WATCHERS:
+                state = self.followers[name].state
+                if state.revision:
+                    age_ms = SystemClock().now_ms() - state.heard_ms
+                    self._send(name, FeedBatch(state.revision, state.revision, age_ms))
+
+
+def play(script) -> None:
+    """Run `script` with a domain of 12 instances that follow a store."""
+
+    async def run() -> None:
+        store = FakeStore()
+        store.write("op/config", make_config(1))
+        store.write("servers/a", make_entry())
+        domain = Domain(store, 12)
+        await domain.start()
+        try:
+            await script(store, domain)
+        finally:
+            await domain.stop()
+
+    asyncio.run(run())
+
+
+def test_small_changes_reach_all_instances_by_two_watches():
+    """Load: 100 changes of upstreams at 12 instances. Guards against a call by each for each."""
+
+    async def script(store, domain):
+        await expect(lambda: store.log.count("watch") >= 12)
+        await asyncio.sleep(0.1)
+        calls = store.log.count("watch")
+        for number in range(100):
+            store.write("servers/a", make_entry(sequence=number + 2))
+            await asyncio.sleep(0.01)
+        store.write("op/config", make_config(5))
+        await domain.expect_version(5)
+        # Each of the ten others has the watch that it began before it heard the watchers.
+        assert store.log.count("watch") - calls <= 2 * 102 + 10
+
+    play(script)
+
+
+def test_lost_message_is_made_up_for():
+    """Guards against an instance that misses one datagram and stays behind."""
+
+    async def script(store, domain):
+        domain.deaf = {"i7"}
+        store.write("op/config", make_config(5))
+        domain.deaf = set()
+        store.write("servers/b", make_entry())
+        await domain.expect_version(5)
+        await expect(lambda: domain.followers["i7"].list_upstreams() == ["a", "b"])
+
+    play(script)
+
+
+def test_large_changes_are_read_from_the_store():
+    """Load: an index of 300 upstreams at once. Guards against datagrams that a link can't take."""
+
+    async def script(store, domain):
+        for number in range(300):
+            store.write(f"servers/x{number}", make_entry())
+        store.write("op/config", make_config(5))
+        await domain.expect_version(5)
+        await expect(lambda: all(len(f.list_upstreams()) == 301 for f in domain.followers.values()))
+
+    play(script)
+
+
+def test_instances_go_on_when_both_watchers_are_killed():
+    """Guards against CONFIG after the loss of the instances that read for the others."""
+
+    async def script(store, domain):
+        for name in WATCHERS:
+            await domain.kill(name)
+        store.write("op/config", make_config(5))
+        await domain.expect_version(5)
+        store.write("op/config", make_config(7))
+        await domain.expect_version(7)
+
+    play(script)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,6 +14,7 @@
 from citronpaddle.clock import SystemClock
 from citronpaddle.fleet import MEMBER_PREFIX, Fleet, FleetState, FleetTimes
 from citronpaddle.platform.codec import PlatformStateDecoder
+from citronpaddle.policy.feed import Feed
 from citronpaddle.policy.members import Member, Members
 from citronpaddle.policy.registry import Registry
 from citronpaddle.policy.selection import Selector
@@ -74,7 +75,14 @@
 class Follower:
     """One instance's view of a store."""
 
-    def __init__(self, store: FakeStore, name: str = "i0", times: FleetTimes = TIMES) -> None:
+    def __init__(
+        self,
+        store: FakeStore,
+        name: str = "i0",
+        times: FleetTimes = TIMES,
+        feed: Feed | None = None,
+        relay: Callable | None = None,
+    ) -> None:
         clock = SystemClock()
         random = RandomSource(1)
         self.state = FleetState(Registry(), Members(Member(name, f"{name}:80", "a")))
@@ -93,6 +101,8 @@
             random.random,
             lambda: None,
             times,
+            feed or Feed(name),
+            relay or (lambda after, items: None),
         )
 
     def read_log(self) -> str:
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -4,10 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from citronpaddle.adapters.hintchannel import decode, encode
+from citronpaddle.adapters.hintchannel import PeerMessage, decode, encode
 from citronpaddle.policy.active import CALM_MS, SILENT_MS, SMALL_DOMAIN, ActiveSet
+from citronpaddle.policy.feed import FeedBatch
 from citronpaddle.policy.hints import Hint, HintKind, Hints
 from citronpaddle.policy.members import Member
+from citronpaddle.statestore import StoreItem
 
 PAIR = [make_upstream("a0"), make_upstream("b0")]
 
@@ -62,15 +64,21 @@
 
 
 def test_messages_keep_their_meaning():
-    """Guards against a codec that loses hints."""
-    hints = [Hint(HintKind.LATE, "a0", 40.5), Hint(HintKind.ANSWERED, "b0", 6.0)]
-    assert decode(encode("i0", 1.5, hints)) == ("i0", 1.5, hints)
+    """Guards against a codec that loses hints or changes."""
+    hints = (Hint(HintKind.LATE, "a0", 40.5), Hint(HintKind.ANSWERED, "b0", 6.0))
+    changes = (StoreItem("servers/a", b"\x00\xff", 7), StoreItem("servers/b", None, 8))
+    for message in (
+        PeerMessage("i0", 1.5, hints),
+        PeerMessage("i0", 1.5, (), FeedBatch(3, 8, 12.5, changes)),
+        PeerMessage("i0", 1.5, (), FeedBatch(8, 8, 0.0)),
+    ):
+        assert decode(encode(message)) == message
 
 
 @given(st.binary(max_size=300))
 def test_foreign_datagrams_are_refused(data):
     """Guards against an instance that any bytes on its port can stop."""
-    assert isinstance(decode(data), str | tuple)
+    assert isinstance(decode(data), str | PeerMessage)
 
 
 def test_small_domain_uses_all_of_its_instances():
