--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -47,6 +47,9 @@
     watch_interval_ms: float = 900.0
     first_retry_ms: float = 150.0
     max_retry_ms: float = 1_000.0
+    # Without a configuration an instance serves nobody, so it asks more often; a store that refuses
+    # calls for their rate makes it wait as long as the others.
+    max_unready_retry_ms: float = 400.0
     # An instance that is gone is missed after this time at most, and a renewal costs little.
     lease_ms: float = 4_000.0
     # The part of a lease after which it is renewed: one renewal may fail.
@@ -279,6 +282,8 @@
         """Wait before the next call; return how long to wait after a further failure."""
         self._note_lost(failure)
         spread = 1.0 + RETRY_SPREAD * self._draw()
+        if self._state.catalog is None and not failure.is_overload:
+            retry_ms = min(retry_ms, self._times.max_unready_retry_ms)
         await asyncio.sleep(retry_ms * spread / 1_000)
         return min(self._times.max_retry_ms, 2 * retry_ms)
 
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -38,8 +38,10 @@
 STOP_RESERVE_MS = 800.0
 # Callers that keep an older list of addresses go on connecting for a multiple of its time.
 LIST_MEMORY = 1.5
-# Without a configuration, a caller is told to come back after this time.
-RETRY_UNREADY_MS = 500.0
+# Without a configuration, a caller is told to come back after as long as the instance has waited
+# for one: a start takes some hundred ms, an outage of the store as long again as it has lasted.
+MIN_UNREADY_RETRY_MS = 300.0
+MAX_UNREADY_RETRY_MS = 2_000.0
 BACKLOG = 512
 # The way to a caller and back where the kernel does not tell: two round trips within a domain.
 UNKNOWN_PATH_MS = 10.0
@@ -126,6 +128,7 @@
         self._log = log
         self._codec = caller_codec
         self._is_leaving = False
+        self._started_ms = clock.now_ms()
         self._rotations: dict[tuple[str, tuple[WeightedService, ...]], WeightedRotation] = {}
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[asyncio.Server] = []
@@ -262,7 +265,9 @@
             self._deny(connection, "", HttpAnswer(400, (), b"malformed request"), "malformed")
             return None
         if catalog is None:
-            answer = self._codec.refuse("no configuration yet", RETRY_UNREADY_MS)
+            waited_ms = request.received_ms - self._started_ms
+            retry_ms = min(MAX_UNREADY_RETRY_MS, max(MIN_UNREADY_RETRY_MS, waited_ms))
+            answer = self._codec.refuse("no configuration yet", retry_ms)
             self._deny(connection, admitted.id, answer, "no_configuration")
             return None
         route = catalog.find_route(admitted.host, admitted.path)
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -158,7 +158,7 @@
     if response.status == lost:
         return response.status, None
     if response.status != 200:
-        return StoreFailure(f"status {response.status}")
+        return StoreFailure(f"status {response.status}", response.status == 429)
     try:
         return response.status, json.loads(response.body or b"{}")
     except ValueError as error:
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -41,9 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreFailure:
-    """No usable answer; a write may have been made, or may be made later."""
+    """No usable answer; a write may have been made, or may be made later.
+
+    `is_overload` says that the store refuses calls because there are too many.
+    """
 
     reason: str
+    is_overload: bool = False
 
 
 class Lease(NamedTuple):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -214,6 +214,30 @@
     play(script)
 
 
+def test_instance_without_a_configuration_asks_again_soon():
+    """Load: all instances start anew while the store is down for seconds (scale-2 of both sites).
+
+    Guards against a second without service after its return, from a pause that has grown meanwhile.
+    """
+
+    async def run():
+        store = FakeStore()
+        store.write("op/config", make_config(1))
+        store.is_down = True
+        times = TIMES._replace(max_retry_ms=600_000.0, max_unready_retry_ms=20.0)
+        follower = Follower(store, times=times)
+        follower.fleet.start()
+        try:
+            # With pauses that double from 5 ms, the fourteenth call would come after 40 s.
+            await expect(lambda: store.log.count("read_all") >= 14)
+            store.is_down = False
+            await expect(lambda: follower.version == 1)
+        finally:
+            await follower.fleet.stop()
+
+    asyncio.run(run())
+
+
 def test_long_history_is_caught_up_without_pauses():
     """Guards against CONFIG and DRAIN after an outage in which the index was cut anew.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -435,6 +435,21 @@
     play(script)
 
 
+def test_caller_is_told_to_wait_longer_the_longer_the_configuration_is_missing():
+    """Load: all instances start anew while the store is down; callers come back once each.
+
+    Guards against sending them away for half a second, to be refused again, for seconds on end.
+    """
+
+    async def script(site):
+        site.gateway.state.catalog = None
+        await asyncio.sleep(0.8)
+        _, headers, _ = await site.ask()
+        assert 0.8 <= float(headers["retry-after"]) <= 2.0
+
+    play(script)
+
+
 @pytest.mark.parametrize(
     "request_bytes, status",
     [
