Rely on a watcher only while its own watch is answered; compress what it passes on

The connection of an instance's watch had gone silent before it became a watcher; its lease was renewed on another one, so that its beats looked fresh and eight instances waited for it. Besides, configurations and new indexes did not fit the datagrams, and each instance read them itself. Ruled out: a lost datagram (the beats name the revision), the frozen second watcher (it did not know that it was one; that alone costs nothing if the first is not relied on). Change: a beat says when the watch was last answered, not the store. A watcher's watch waits 1.5 s, and one that becomes a watcher begins its watch anew. Changes are compressed by zlib, 16 KB to a datagram.

--- a/citronpaddle/adapters/hintchannel.py
+++ b/citronpaddle/adapters/hintchannel.py
@@ -1,6 +1,7 @@
 """Messages between instances: thrift in datagrams."""
 
 import asyncio
+import zlib
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -15,6 +16,10 @@
 
 # Datagrams beyond this size are not ours.
 MAX_BYTES = 8_192
+# Bytes that unpack to more than this are not ours: a configuration has 262,144 at most.
+MAX_UNPACKED_BYTES = 524_288
+# The fastest: entries shrink nearly as much as with the best.
+_COMPRESSION_LEVEL = 1
 
 
 class PeerMessage(NamedTuple):
@@ -27,14 +32,13 @@
 
 
 def encode(message: PeerMessage) -> bytes:
-    """Return a message as bytes."""
-    buffer = TMemoryBuffer()
+    """Return a message as bytes; changes that do not fit are left out, which the feed shows."""
     hints = [ttypes.Hint(int(hint.kind), hint.upstream, hint.value) for hint in message.hints]
     feed = _encode_feed(message.feed) if message.feed is not None else None
-    ttypes.Message(message.sender, message.strain_ms, hints, feed).write(
-        TBinaryProtocolAccelerated(buffer)
-    )
-    return buffer.getvalue()
+    data = _write(ttypes.Message(message.sender, message.strain_ms, hints, feed))
+    if len(data) > MAX_BYTES and message.feed is not None and message.feed.changes:
+        return encode(message._replace(feed=message.feed.without_changes))
+    return data
 
 
 def decode(data: bytes) -> PeerMessage | str:
@@ -56,15 +60,32 @@
 
 
 def _encode_feed(batch: FeedBatch) -> ttypes.Feed:
-    changes = [ttypes.Change(item.key, item.value, item.revision) for item in batch.changes]
-    return ttypes.Feed(batch.from_revision, batch.to_revision, batch.age_ms, changes)
+    items = [ttypes.Change(item.key, item.value, item.revision) for item in batch.changes]
+    packed = zlib.compress(_write(ttypes.Changes(items)), _COMPRESSION_LEVEL) if items else None
+    return ttypes.Feed(batch.from_revision, batch.to_revision, batch.age_ms, packed)
 
 
 def _decode_feed(feed: ttypes.Feed) -> FeedBatch:
-    changes = tuple(
-        StoreItem(str(item.key), item.value, int(item.revision)) for item in feed.changes
-    )
-    return FeedBatch(int(feed.from_revision), int(feed.to_revision), float(feed.age_ms), changes)
+    items: tuple[StoreItem, ...] = ()
+    if feed.changes is not None:
+        unpacker = zlib.decompressobj()
+        data = unpacker.decompress(feed.changes, MAX_UNPACKED_BYTES)
+        if not unpacker.eof:
+            raise ValueError("changes are cut, or too long unpacked")
+        changes = ttypes.Changes()
+        changes.read(
+            TBinaryProtocolAccelerated(TMemoryBuffer(data), string_length_limit=MAX_UNPACKED_BYTES)
+        )
+        items = tuple(
+            StoreItem(str(item.key), item.value, int(item.revision)) for item in changes.items
+        )
+    return FeedBatch(int(feed.from_revision), int(feed.to_revision), float(feed.age_ms), items)
+
+
+def _write(message: ttypes.Message | ttypes.Changes) -> bytes:
+    buffer = TMemoryBuffer()
+    message.write(TBinaryProtocolAccelerated(buffer))
+    return buffer.getvalue()
 
 
 class HintChannel(asyncio.DatagramProtocol):
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -42,6 +42,8 @@
 
     # One watch call may wait this long; the store's limit is 30 s.
     watch_wait_ms: int = 25_000
+    # One that others rely on asks more often: its silence must show within their bound.
+    watcher_wait_ms: int = 1_500
     # Every watch call has its price: changes that follow each other closely share one. The closest
     # bound for a configuration, 3 s on the smallest sites, leaves room for this delay.
     watch_interval_ms: float = 900.0
@@ -60,6 +62,8 @@
     check_patience_ms: float = 1_000.0
     # How often an instance that others read for looks whether they still do.
     feed_check_ms: float = 250.0
+    # How often an instance with a watch looks whether others rely on it by now.
+    role_check_ms: float = 1_000.0
 
 
 class StateDecoder(ABC):
@@ -88,13 +92,18 @@
 
 @dataclass(slots=True)
 class FleetState:
-    """What this instance knows; `catalog` is None until the first configuration."""
+    """What this instance knows; `catalog` is None until the first configuration.
+
+    `heard_ms` is when what is known was last confirmed, `watched_ms` when the store last answered
+    this instance's own watch or read.
+    """
 
     registry: Registry
     members: Members
     catalog: Catalog | None = None
     revision: int = 0
     heard_ms: float = 0.0
+    watched_ms: float = 0.0
     is_store_lost: bool = False
 
 
@@ -186,6 +195,7 @@
                 retry_ms = await self._pause(view, retry_ms)
                 continue
             self._note_answer()
+            self._state.watched_ms = self._clock.now_ms()
             self._take_view(view)
             retry_ms = self._times.first_retry_ms
             await self._watch()
@@ -208,6 +218,7 @@
                 retry_ms = await self._pause(changes, retry_ms)
                 continue
             self._note_answer()
+            self._state.watched_ms = self._clock.now_ms()
             retry_ms = self._times.first_retry_ms
             self._take_changes(changes.items, changes.revision)
             self._relay(after, changes.items)
@@ -250,10 +261,20 @@
     async def _call_watch(self, after: int) -> StoreChanges | HistoryLost | StoreFailure:
         """Call the watch, and give it up when there is reason to think that it never answers."""
         self._is_watch_suspect.clear()
-        watch = asyncio.ensure_future(self._store.watch("", after, self._times.watch_wait_ms))
+        is_watcher = self._feed.is_watcher
+        wait_ms = self._times.watcher_wait_ms if is_watcher else self._times.watch_wait_ms
+        watch = asyncio.ensure_future(self._store.watch("", after, wait_ms))
         suspect = asyncio.ensure_future(self._is_watch_suspect.wait())
         try:
-            await asyncio.wait({watch, suspect}, return_when=asyncio.FIRST_COMPLETED)
+            while not watch.done() and not suspect.done():
+                await asyncio.wait(
+                    {watch, suspect},
+                    timeout=self._times.role_check_ms / 1_000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if self._feed.is_watcher and not is_watcher and not watch.done():
+                    # Others rely on this instance from now on, and this watch may be silent.
+                    return StoreChanges((), after)
             return watch.result() if watch.done() else StoreFailure("the watch is silent")
         finally:
             watch.cancel()
@@ -263,6 +284,9 @@
         """Compare the store's revision with the watch's now and then."""
         while True:
             await asyncio.sleep(self._times.check_ms / 1_000)
+            if self._feed.is_fed(self._clock.now_ms()):
+                # The watchers tell their revision, and they check it.
+                continue
             revision = await self._store.read_revision()
             if isinstance(revision, StoreFailure):
                 continue
--- a/citronpaddle/hints.thrift
+++ b/citronpaddle/hints.thrift
@@ -21,13 +21,18 @@
   3: i64 revision,
 }
 
+struct Changes {
+  1: list<Change> items,
+}
+
 /** The store's changes after one revision up to another, as a watcher has read them. */
 struct Feed {
   1: i64 from_revision,
   2: i64 to_revision,
-  /** How long ago the store last answered the watcher, in ms. */
+  /** How long ago the store last answered the sender's watch, in ms. */
   3: double age_ms,
-  4: list<Change> changes,
+  /** `Changes`, compressed by zlib; nothing if there are none. */
+  4: optional binary changes,
 }
 
 struct Message {
--- a/citronpaddle/policy/feed.py
+++ b/citronpaddle/policy/feed.py
@@ -17,19 +17,20 @@
 WATCHERS = 2
 # Watchers tell their revision every 0.5 s; one that has missed two beats is not relied on.
 SILENT_MS = 1_200.0
-# A watcher hears the store at least every 1.6 s, when it renews its lease; with more than a slow
-# answer beyond that it is cut off, and others may not be.
-MAX_AGE_MS = 2_500.0
-# A datagram stays below 8 KiB with its frame. Of more than this many, some would be lost on a weak
-# link, and each instance reads such a change itself.
-MAX_BATCH_BYTES = 6_000
-MAX_BATCHES = 4
+# A watch of a watcher is answered after 1.5 s at most, changes or not. Beyond that and a slow
+# answer it may be silent for good, while its other calls are answered.
+MAX_AGE_MS = 2_000.0
+# Compressed, the entries of upstreams shrink to a quarter and configurations to a tenth: a batch of
+# this size fits a datagram of 8 KiB. Of more than so many, some would be lost on a weak link, and
+# each instance reads such a change itself.
+MAX_BATCH_BYTES = 16_000
+MAX_BATCHES = 8
 # The frame of one change in a message.
 _CHANGE_BYTES = 32
 
 
 class FeedBatch(NamedTuple):
-    """All changes after `from_revision` up to `to_revision`; the store last answered `age_ms` ago.
+    """All changes after `from_revision` up to `to_revision`; the watch was answered `age_ms` ago.
 
     One that begins where it ends brings nothing and tells only how far the watcher is.
     """
@@ -39,6 +40,11 @@
     age_ms: float
     changes: tuple[StoreItem, ...] = ()
 
+    @property
+    def without_changes(self) -> "FeedBatch":
+        """Return a batch that tells only how far the watcher is."""
+        return FeedBatch(self.to_revision, self.to_revision, self.age_ms)
+
 
 class Step(StrEnum):
     """What a batch is to an instance that knows the changes up to some revision."""
@@ -74,7 +80,7 @@
         changes += together
         size += added
         end = revision
-        if size > MAX_BATCH_BYTES or len(batches) >= MAX_BATCHES:
+        if len(batches) >= MAX_BATCHES:
             return [FeedBatch(to_revision, to_revision, age_ms)]
     batches.append(FeedBatch(start, to_revision, age_ms, tuple(changes)))
     return batches
@@ -102,7 +108,7 @@
         self._watchers = frozenset(names)
 
     def note(self, sender: str, batch: FeedBatch, now_ms: float) -> None:
-        """Take note that an instance reads the store, if the store still answers it."""
+        """Take note that an instance reads the store, if its watch is still answered."""
         if batch.age_ms <= MAX_AGE_MS:
             self._heard_ms[sender] = now_ms
         else:
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -79,12 +79,17 @@
             return StoreFailure("down")
         if after < self.oldest:
             return HistoryLost()
+        end = asyncio.get_running_loop().time() + wait_ms / 1_000
         while True:
             found = tuple(item for item in self.history if item.revision > after)
             if found or self.is_down:
                 break
             self._changed.clear()
-            await self._changed.wait()
+            try:
+                async with asyncio.timeout_at(end):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
         if self.is_down:
             return StoreFailure("down")
         if len(found) > self.max_changes:
