--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -42,11 +42,12 @@
 
     # One watch call may wait this long; the store's limit is 30 s.
     watch_wait_ms: int = 25_000
-    # One that others rely on asks more often: its silence must show within their bound.
-    watcher_wait_ms: int = 1_500
+    # One that others rely on asks more often: its silence must show well within the closest bound.
+    watcher_wait_ms: int = 1_300
     # Every watch call has its price: changes that follow each other closely share one. The closest
     # bound for a configuration, 3 s on the smallest sites, leaves room for this delay.
     watch_interval_ms: float = 900.0
+    watcher_interval_ms: float = 700.0
     first_retry_ms: float = 150.0
     max_retry_ms: float = 1_000.0
     # Without a configuration an instance serves nobody, so it asks more often; a store that refuses
@@ -222,7 +223,10 @@
             retry_ms = self._times.first_retry_ms
             self._take_changes(changes.items, changes.revision)
             self._relay(after, changes.items)
-            left_ms = self._times.watch_interval_ms - (self._clock.now_ms() - called_ms)
+            interval_ms = self._times.watch_interval_ms
+            if self._feed.is_watcher:
+                interval_ms = min(interval_ms, self._times.watcher_interval_ms)
+            left_ms = interval_ms - (self._clock.now_ms() - called_ms)
             if left_ms > 0 and len(changes.items) < MANY_CHANGES:
                 await asyncio.sleep(left_ms / 1_000)
 
--- a/citronpaddle/policy/feed.py
+++ b/citronpaddle/policy/feed.py
@@ -17,9 +17,9 @@
 WATCHERS = 2
 # Watchers tell their revision every 0.5 s; one that has missed two beats is not relied on.
 SILENT_MS = 1_200.0
-# A watch of a watcher is answered after 1.5 s at most, changes or not. Beyond that and a slow
-# answer it may be silent for good, while its other calls are answered.
-MAX_AGE_MS = 2_000.0
+# A watcher pauses 0.7 s at most, and its watch is answered after 1.3 s, changes or not. Beyond that
+# and a slow answer it may be silent for good, while its other calls are answered.
+MAX_AGE_MS = 2_200.0
 # Compressed, the entries of upstreams shrink to a quarter and configurations to a tenth: a batch of
 # this size fits a datagram of 8 KiB. Of more than so many, some would be lost on a weak link, and
 # each instance reads such a change itself.
