--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,9 @@
 
 # The scenarios that KNOWN-RED.txt lists; their outcome is printed and passed over.
 known-red: setup
-	-$(BIN)/behave --no-color --format plain --no-skipped --tags=known_red tests/features
+	@if grep -rqs '@known_red' tests/features; then \
+		$(BIN)/behave --no-color --format plain --no-skipped --tags=known_red tests/features || true; \
+	else echo 'No scenario is known to be red.'; fi
 
 # The fault soak by hand: make soak SEED=1 RUNS=50 MINUTES=0.5
 SEED ?= 1
