Let no call leave in the step that refuses its request

The process woke 430 ms after the request's time-out, chose another upstream, and only then found that the time was over. The outcome was right when it was decided; the call left after it. Ruled out: end_unsent, which knows no call that is still to be started. Change: a step that ends with an outcome takes back the calls it has just chosen. Result: two cases in test_exchange fail before and pass after.

--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -332,7 +332,7 @@
         if not part.open:
             self._repeat(call, fault, now_ms, actions)
         self._decide(now_ms)
-        return actions
+        return self._drop_useless(actions, now_ms)
 
     def handle_time(self, now_ms: float) -> list[Action]:
         """Hedge late calls, resume waiting parts, and answer when it is time."""
@@ -349,7 +349,19 @@
             else:
                 self._review(index, now_ms, actions)
         self._decide(now_ms)
-        return actions
+        return self._drop_useless(actions, now_ms)
+
+    def _drop_useless(self, actions: list[Action], now_ms: float) -> list[Action]:
+        """Take calls back that nobody needs with the outcome.
+
+        A busy process may come here long after the request's time is over. With a refusal, a call
+        that left now would make "not run" untrue.
+        """
+        if self.outcome is None:
+            return actions
+        sends = [action.call for action in actions if isinstance(action, Send)]
+        self._cancel(sends, now_ms)
+        return [action for action in actions if isinstance(action, Cancel)]
 
     def next_time_ms(self, now_ms: float) -> float:
         """Return when `handle_time` is due next; a reply alone never makes it due sooner."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -270,8 +270,8 @@
     ends: Counter[str] = Counter()
     example = ""
     for attempt in history.attempts.values():
-        # The end of the run cuts off what is in progress; nothing is in progress for longer than the
-        # caller's patience, after which it has an end.
+        # The end of the run cuts off what is in progress. Whatever is for longer than a caller's
+        # patience has an end.
         if attempt.sent_ms < calm_from_ms or attempt.end in (End.LEFT, None):
             continue
         is_served = attempt.end is End.ANSWERED and attempt.status == 200
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -13,7 +13,15 @@
 )
 
 from citronpaddle.policy.catalog import ServiceLimits
-from citronpaddle.policy.exchange import Answered, Failed, Fault, Refused
+from citronpaddle.policy.exchange import (
+    Answered,
+    CallFailure,
+    Exchange,
+    Failed,
+    Fault,
+    Refused,
+    Send,
+)
 from citronpaddle.policy.extraload import ExtraLoadLimits
 
 PAIR = [make_upstream("a0"), make_upstream("b0")]
@@ -313,3 +321,24 @@
     cold = [at for at, _ in world.calls if back_ms <= at < back_ms + 3_000.0]
     assert len(cold) >= 10, "it is used again"
     assert max(sum(1 for at in cold if 0 <= at - first < 1_000.0) for first in cold) <= 20
+
+
+@pytest.mark.parametrize("is_late_failure", [False, True])
+def test_nothing_is_sent_with_a_refusal_that_comes_late(is_late_failure):
+    """Guards against REFUSED: a starved process looks at the request after its time is over.
+
+    Found by the soak (seed 101, at a load of 24): the call in place of one without a connection left
+    at 1,432 ms of 1,000, together with the 503.
+    """
+    world = World(PAIR, lambda call, now_ms: None)
+    route = make_single_route(is_idempotent=False)
+    exchange = Exchange(route, ("s0",), world.now_ms, world.now_ms + 1_000.0, world.tools)
+    (first,) = exchange.start(world.now_ms)
+    late_ms = world.now_ms + 1_432.0
+    if is_late_failure:
+        actions = exchange.handle_failure(first.call, CallFailure(Fault.UNREACHABLE), late_ms)
+    else:
+        actions = exchange.handle_time(late_ms)
+    assert isinstance(exchange.outcome, Refused)
+    assert not [action for action in actions if isinstance(action, Send)]
+    assert not [call for call in exchange.open_calls if call is not first.call]
