--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -327,7 +327,7 @@
 def test_nothing_is_sent_with_a_refusal_that_comes_late(is_late_failure):
     """Guards against REFUSED: a starved process looks at the request after its time is over.
 
-    Found by the soak (seed 101, at a load of 24): the call in place of one without a connection left
+    Found by the soak (seed 101 at a load of 24): a call in place of one without a connection left
     at 1,432 ms of 1,000, together with the 503.
     """
     world = World(PAIR, lambda call, now_ms: None)
