Split the measurements by subject, and measure pings within the life of idle connections

Change: extras/measuring has a module for each subject, measure.py names the commands. pings measures 2 s. The linter covers all of extras.

--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,12 @@
 	echo '__all__ = ["ttypes"]' > citronpaddle/generated/hints/__init__.py
 
 format: setup
-	$(BIN)/black citronpaddle tests extras/*.py
-	$(BIN)/ruff check --fix citronpaddle tests extras/*.py
+	$(BIN)/black citronpaddle tests extras
+	$(BIN)/ruff check --fix citronpaddle tests extras
 
 lint: setup
-	$(BIN)/black --check --quiet citronpaddle tests extras/*.py
-	$(BIN)/ruff check citronpaddle tests extras/*.py
+	$(BIN)/black --check --quiet citronpaddle tests extras
+	$(BIN)/ruff check citronpaddle tests extras
 	$(BIN)/lint-imports
 
 unit: setup
--- /dev/null
+++ b/extras/measuring/decisions.py
@@ -0,0 +1,210 @@
+"""What the decisions of leases, membership and configuration cost."""
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from citronpaddle.adapters.heartbeats import decode_beat, encode_beat
+from citronpaddle.adapters.messages import decode_indexes, encode_indexes
+from citronpaddle.control import MemberView
+from citronpaddle.documents import (
+    Configuration,
+    ConfigurationUpdate,
+    PullRequest,
+)
+from citronpaddle.models import (
+    ListedInstance,
+)
+from citronpaddle.policy.configuration import build_update, merge_update
+from citronpaddle.policy.rendezvous import rank_candidates
+from citronpaddle.policy.snapshot import pin_snapshot
+from citronpaddle.ports import Beat
+
+from .builders import (
+    Domain,
+    make_configuration,
+    make_domain,
+    make_indexes,
+    make_membership,
+    make_service,
+)
+from .tables import Table, time_calls
+
+
+@click.command()
+@click.option("--repeats", default=3, show_default=True)
+@click.option("--name", default="decisions", show_default=True, help="Name of the result files.")
+def decisions(repeats: int, name: str) -> None:
+    """Processor time of lease, configuration and index decisions."""
+    table = Table(name)
+    for _ in range(repeats):
+        for size in (100, 300, 889):
+            asyncio.run(measure_domain(table, size, 122, "upstreams of the domain, 122 instances"))
+        for size in (3, 30, 122):
+            asyncio.run(measure_domain(table, 889, size, "instances of the domain, 889 upstreams"))
+        for size in (10, 30, 91):
+            measure_configuration(table, size)
+        for size in (10, 100, 1_099):
+            measure_membership(table, size)
+            names = [f"entry-{number:04}" for number in range(size)]
+            used = time_calls(lambda names=names: rank_candidates("service-001-u1", names))
+            table.add("rank_candidates, us / instances", size, used)
+    table.save()
+
+
+async def measure_domain(table: Table, upstreams: int, instances: int, axis: str) -> None:
+    """Time the periodic decisions of one instance of a domain."""
+    domain = make_domain(upstreams, instances)
+    now_ms = domain.clock.now_ms() + 10.0
+    size = upstreams if axis.startswith("upstreams") else instances
+    held = len(domain.holder.list_held(now_ms))
+    table.add(f"upstreams held / {axis}", size, held)
+    table.add(f"Holder.tick, us / {axis}", size, time_calls(lambda: domain.holder.tick(now_ms)))
+    table.add(f"LeaseKeeper.tick, us / {axis}", size, time_calls(domain.keeper.tick))
+    request = max(domain.requests, key=lambda item: len(item.upstreams))
+    sequence = 100
+
+    def vote() -> None:
+        nonlocal sequence
+        sequence += 1
+        domain.voter.handle_request(request._replace(sequence=sequence), now_ms)
+
+    per_upstream = time_calls(vote) / len(request.upstreams)
+    table.add(f"Voter.handle_request, us per upstream asked / {axis}", size, per_upstream)
+    table.add(f"Owner.list_owned, us / {axis}", size, time_calls(domain.owner.list_owned))
+    table.add(f"Owner.run, one pass, us / {axis}", size, await time_pass(domain))
+
+
+async def time_pass(domain: Domain) -> float:
+    """Return the processor time of one pass of the owner's loop in microseconds."""
+    for owned in domain.owner._owned.values():
+        if domain.keeper.can_dispatch(owned.spec.name, domain.clock.now_ms()):
+            owned.next_report_ms = float("inf")
+    task = asyncio.create_task(domain.owner.run())
+    start_s, start = time.monotonic(), time.process_time()
+    await asyncio.sleep(2.0)
+    used_s = time.process_time() - start
+    passes = (time.monotonic() - start_s) / 0.05
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return used_s / passes * 1e6
+
+
+def measure_membership(table: Table, size: int) -> None:
+    """Time what the membership view costs per call."""
+    membership = make_membership(size)
+    view = MemberView(membership)
+    now_ms = 0.0
+    last = f"entry-{size - 1:04}"
+    heartbeat = membership.describe(now_ms)
+    reports = membership.report_all(now_ms)[:8]
+    heard = heartbeat._replace(sender=reports[0].member, reports=reports)
+
+    def tick() -> None:
+        nonlocal now_ms
+        now_ms += 1_000.0
+        membership.tick(now_ms)
+        membership.resume(1_000.0)
+
+    beat = Beat(heard, None, 0.0)
+    body = encode_beat(beat)
+    calls: dict[str, Callable[[], Any]] = {
+        "Membership.list_usable": membership.list_usable,
+        "MemberView.list_domain": lambda: view.list_domain("domain-0"),
+        "MemberView.find_peer_address": lambda: view.find_peer_address(last),
+        "MemberView.find_revisions": view.find_revisions,
+        "Membership.receive": lambda: membership.receive(heard, now_ms),
+        "Membership.tick with a round": tick,
+        "heartbeat with 8 reports, decode and encode": lambda: encode_beat(decode_beat(body)),
+    }
+    for name, call in calls.items():
+        table.add(f"{name}, us / members", size, time_calls(call))
+    table.add("heartbeat with 8 reports, bytes / members", size, len(body))
+    instances = [
+        {
+            "name": f"entry-{number:04}",
+            "state": "live",
+            "failure_domain": f"domain-{number % 9}",
+            "peer_address": f"10.0.{number // 200}.{number % 200 + 1}:9000",
+            "http_address": f"10.0.{number // 200}.{number % 200 + 1}:8000",
+        }
+        for number in range(size)
+    ]
+    listing = json.dumps({"instances": instances}).encode()
+
+    def take_list() -> None:
+        items = json.loads(listing)["instances"]
+        membership.note_list(
+            ListedInstance(
+                item["name"],
+                item["failure_domain"],
+                item["peer_address"],
+                item["http_address"],
+                item["state"] == "leaving",
+            )
+            for item in items
+        )
+
+    table.add("instance list, bytes / members", size, len(listing))
+    table.add("instance list, us to take / members", size, time_calls(take_list))
+
+
+def measure_configuration(table: Table, services: int) -> None:
+    """Time what one configuration change costs an instance that pulls one changed service."""
+    own = make_configuration(services)
+    changed = make_service(0)
+    head = own.head.model_copy(
+        update={
+            "revision": 2,
+            "change_id": "change-2",
+            "ancestors": ("change", *own.head.ancestors[:63]),
+            "services": own.head.services | {changed.name: 2},
+        }
+    )
+    data = ConfigurationUpdate(head=head, services={changed.name: changed}).to_bytes()
+    table.add("update of one service, bytes / services", services, len(data))
+
+    def pull() -> None:
+        merge_update(own, ConfigurationUpdate.from_bytes(data))
+
+    table.add("update of one service, us to take / services", services, time_calls(pull))
+    newer = merge_update(own, ConfigurationUpdate.from_bytes(data))
+    assert isinstance(newer, Configuration), newer
+    request = PullRequest(revision=1, change_id="change")
+    table.add(
+        "update of one service, us to give / services",
+        services,
+        time_calls(lambda: build_update(newer, request).to_bytes()),
+    )
+    whole = PullRequest(revision=0, change_id="")
+    table.add(
+        "whole configuration, bytes / services",
+        services,
+        len(build_update(newer, whole).to_bytes()),
+    )
+    indexes = make_indexes(1)
+    body = encode_indexes(indexes)
+    if services == 91:
+        table.add("DESCRIBE of 88 upstreams, bytes", 88, len(body))
+        table.add(
+            "DESCRIBE of 88 upstreams, us to read", 88, time_calls(lambda: decode_indexes(body))
+        )
+        table.add("pin_snapshot of 88 upstreams, us", 88, time_calls(lambda: pin_snapshot(indexes)))
+    measure_application(table, newer, services)
+
+
+def measure_application(table: Table, configuration: Configuration, services: int) -> None:
+    """Time what it takes to put a configuration in force that changed nothing of this domain."""
+    domain = make_domain(1, 3)
+
+    def apply() -> None:
+        domain.keeper.set_upstreams(domain.owner.apply_configuration(configuration))
+
+    table.add("configuration, us to put in force / services", services, time_calls(apply))
+
+
+# Bytes of one HTTP call to an upstream
--- /dev/null
+++ b/extras/measuring/tables.py
@@ -0,0 +1,112 @@
+"""Samples of a measurement, their tables and slopes, and the meters of processes."""
+
+import json
+import statistics
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+
+HERE = Path(__file__).parent.parent
+RESULTS = HERE.parent / "results"
+
+
+class Sample(NamedTuple):
+    """One figure of one repeat, in the unit that the series names."""
+
+    series: str
+    size: int
+    value: float
+
+
+class Table:
+    """Samples of one command; `save` writes them with median, range and slope."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._samples: list[Sample] = []
+
+    def add(self, series: str, size: int, value: float) -> None:
+        """Add one figure and print it."""
+        self._samples.append(Sample(series, size, value))
+        click.echo(f"  {series} at {size}: {value:.6g}", err=True)
+
+    def save(self) -> None:
+        """Print the summary and write it with all samples under `results/`."""
+        series = list(dict.fromkeys(sample.series for sample in self._samples))
+        rows = [row for name in series for row in self._summarise(name)]
+        text = "\n".join([f"{'series':<58}{'size':>6}{'runs':>5}{'median':>13}  range", *rows])
+        RESULTS.mkdir(exist_ok=True)
+        (RESULTS / f"{self._name}.txt").write_text(text + "\n")
+        document = {"samples": [sample._asdict() for sample in self._samples]}
+        (RESULTS / f"{self._name}.json").write_text(json.dumps(document, indent=1))
+        click.echo(text)
+
+    def _summarise(self, series: str) -> list[str]:
+        by_size: dict[int, list[float]] = {}
+        for sample in self._samples:
+            if sample.series == series:
+                by_size.setdefault(sample.size, []).append(sample.value)
+        rows = [_format_row(series, str(size), values) for size, values in sorted(by_size.items())]
+        repeats = min(len(values) for values in by_size.values())
+        if len(by_size) >= 3:
+            slopes, starts = [], []
+            for repeat in range(repeats):
+                points = [(size, values[repeat]) for size, values in by_size.items()]
+                slope, start = fit_line(points)
+                slopes.append(slope)
+                starts.append(start)
+            rows.append(_format_row(series, "slope", slopes))
+            rows.append(_format_row(series, "at 0", starts))
+        return rows
+
+
+def _format_row(series: str, size: str, values: list[float]) -> str:
+    median = statistics.median(values)
+    spread = f"{min(values):.4g} to {max(values):.4g}"
+    return f"{series:<58}{size:>6}{len(values):>5}{median:>13.5g}  {spread}"
+
+
+def fit_line(points: Sequence[tuple[float, float]]) -> tuple[float, float]:
+    """Return slope and value at 0 by least squares."""
+    slope, start = statistics.linear_regression(*zip(*points, strict=True))
+    return slope, start
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used so far."""
+    # The scheduler's figures are in ns; those of /proc/PID/stat would be in ticks of 10 ms.
+    files = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(file.read_text().split()[0]) for file in files) / 1e9
+
+
+def read_rss_mib(pid: int) -> float:
+    """Return the resident memory of a process in MiB."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    line = next(line for line in lines if line.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
+def time_calls(work: Callable[[], Any], least_s: float = 0.2) -> float:
+    """Return the processor time of one call in microseconds."""
+    work()
+    count = 1
+    while True:
+        start = time.process_time()
+        for _ in range(count):
+            work()
+        used_s = time.process_time() - start
+        if used_s >= least_s or count >= 1_000_000:
+            return used_s / count * 1e6
+        count = max(count * 2, int(count * least_s / max(used_s, 1e-4)))
+
+
+# Hosts: programs that are started as processes by the commands below
+
+
+async def repeat(work: Callable[[], Awaitable[Any]], count: int) -> None:
+    """Run `work` so many times, one after the other."""
+    for _ in range(count):
+        await work()
