Bound what upstreams can send, and never take one answer for another

Cause: a response's head and body had no limit in bytes on either path, so an upstream that sends without end filled the memory of an instance until the request's deadline. On the product's own interface aiohttp also takes bytes that arrive on an idle connection for the response to the next request (a late second copy became another order's answer), follows redirections of orders, and parses endless interim responses for 4.4 s at a deadline of 0.3 s (50 calls, 277 MB). Change: the own interface's upstream calls use the connections of the platform's path. A head has 64 KiB, a response 16 MiB, all incomplete responses of a pool 32 MiB; over the total the largest is given up. Responses must repeat the request's id, or come on a connection of their own. Writes to the key-value store use a connection each, since its replies have no id. Other bodies read with aiohttp are bounded. Trailer fields are no longer merged into the head.

--- a/citronpaddle/adapters/connections.py
+++ b/citronpaddle/adapters/connections.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from ..clock import Clock
-from .httpclient import HttpConnection, HttpFailure, ResponseSink
+from ..policy.buffers import ReceiveBudget, ReceiveLimits
+from .httpclient import HttpConnection, HttpFailure, HttpResponse, ResponseSink
 
 # Idle connections kept per upstream. The connections of all instances together must stay within the
 # upstream's limit, even when half of the instances were just replaced and their old connections
@@ -12,6 +13,10 @@
 MAX_IDLE_PER_ADDRESS = 1
 # Opening a connection takes a few ms; after this timeout the upstream is treated as unreachable.
 CONNECT_TIMEOUT_MS = 1_000.0
+# The store's responses are the largest: a watch may return many values of up to a megabyte.
+DEFAULT_RECEIVE_LIMITS = ReceiveLimits(
+    response_bytes=16 * 1024 * 1024, total_bytes=32 * 1024 * 1024
+)
 
 Address = tuple[str, int]
 
@@ -35,12 +40,19 @@
 class ConnectionPool:
     """Connections by address; the caller limits the number of open requests per address."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, limits: ReceiveLimits = DEFAULT_RECEIVE_LIMITS) -> None:
+        """Create an empty pool; `limits` bound the responses that its connections receive."""
         self._clock = clock
+        self._budget = ReceiveBudget(limits)
         self._idle: dict[Address, list[HttpConnection]] = {}
         self._addresses: dict[HttpConnection, Address] = {}
         self.opened = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of incomplete responses the pool holds."""
+        return self._budget.total_bytes
+
     def dispatch(
         self,
         address: Address,
@@ -65,6 +77,43 @@
             dispatch.task = asyncio.get_running_loop().create_task(open_and_send)
         return dispatch
 
+    async def fetch(
+        self,
+        address: Address,
+        request: bytes,
+        accept: Callable[[HttpResponse, bool], bool],
+        max_idle_ms: float,
+        timeout_ms: float,
+    ) -> HttpResponse | HttpFailure:
+        """Send a request once and return its response or the failure, within `timeout_ms`.
+
+        `accept` gets a response and whether its connection was used before, and returns false for
+        the response to another request. A connection whose response is overdue is closed.
+        """
+        ended: asyncio.Future[HttpResponse | HttpFailure] = (
+            asyncio.get_running_loop().create_future()
+        )
+        is_sent = is_reused = False
+
+        def build() -> bytes:
+            nonlocal is_sent
+            is_sent = True
+            return request
+
+        sink = ResponseSink(
+            lambda response: accept(response, is_reused), ended.set_result, ended.set_result
+        )
+        dispatch = self.dispatch(address, build, sink, max_idle_ms)
+        is_reused = dispatch.connection is not None
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                return await asyncio.shield(ended)
+        except TimeoutError:
+            return HttpFailure("timeout", is_sent)
+        finally:
+            if not ended.done():
+                dispatch.cancel()
+
     def close_address(self, address: Address) -> None:
         """Close the idle connections to `address`, which is no longer used."""
         for connection in self._idle.pop(address, ()):
@@ -105,7 +154,9 @@
         self, address: Address, build: Callable[[], bytes], dispatch: Dispatch, is_head: bool
     ) -> None:
         loop = asyncio.get_running_loop()
-        connection = HttpConnection(self._clock, self._handle_idle, self._handle_closed)
+        connection = HttpConnection(
+            self._clock, self._budget, self._handle_idle, self._handle_closed
+        )
         self.opened += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
--- a/citronpaddle/adapters/httpclient.py
+++ b/citronpaddle/adapters/httpclient.py
@@ -13,6 +13,7 @@
 import httptools
 
 from ..clock import Clock
+from ..policy.buffers import ReceiveBudget
 
 # Time after which an unresponsive connection is closed: by keep-alive probes if it is idle, by
 # TCP_USER_TIMEOUT if sent bytes are not acknowledged.
@@ -24,6 +25,8 @@
 _IDLE_TIMEOUT_SHARE = 0.75
 # Time for which an idle connection is reused if the upstream advertises no timeout.
 DEFAULT_MAX_IDLE_MS = 4_000.0
+# Maximum size of a response's head, with any interim (1xx) responses before it.
+MAX_HEAD_BYTES = 64 * 1024
 
 
 class HttpResponse(NamedTuple):
@@ -73,15 +76,19 @@
     """One connection; after a response it is idle and may be reused while `is_usable` is true.
 
     `on_idle` is called when a response is complete, `on_closed` once when the connection is lost.
+    A response over the size limits fails and ends the connection, since an upstream may send
+    without end.
     """
 
     def __init__(
         self,
         clock: Clock,
+        budget: ReceiveBudget,
         on_idle: Callable[["HttpConnection"], None],
         on_closed: Callable[["HttpConnection"], None],
     ) -> None:
         self._clock = clock
+        self._budget = budget
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
@@ -90,6 +97,8 @@
         self._is_head = False
         self._must_not_reuse = False
         self._has_rejected_response = False
+        self._head_bytes = 0
+        self._has_final_head = False
         self._max_idle_ms = DEFAULT_MAX_IDLE_MS
         self.idle_since_ms = clock.now_ms()
         self._clear()
@@ -100,6 +109,7 @@
         self._has_length = False
         self._has_message = False
         self._closes_after_response = False
+        self._are_headers_complete = False
         self._status = 0
 
     @property
@@ -117,6 +127,8 @@
         """Write a request, whose response goes to `sink`; the connection must be usable."""
         self._sink = sink
         self._is_head = is_head
+        self._head_bytes = 0
+        self._has_final_head = False
         self._transport.write(request)
 
     def close(self) -> None:
@@ -127,7 +139,7 @@
 
     def abort(self) -> None:
         """Close at once, without calling the sink of a request in progress."""
-        self._sink = None
+        self._end_request()
         self._must_not_reuse = True
         if self._transport is not None:
             self._transport.abort()
@@ -155,18 +167,32 @@
             self._must_not_reuse = True
             self._transport.abort()
             return
+        oversized = self._budget.record(self, len(data))
+        if oversized is not None:
+            oversized.give_up("oversized")
+        if self._sink is None:
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._must_not_reuse = True
-            self._fail("garbled")
-            self._transport.abort()
+            self.give_up("garbled")
             return
+        if not self._has_final_head:
+            self._head_bytes += len(data)
+            if self._sink is not None and self._head_bytes > MAX_HEAD_BYTES:
+                self.give_up("oversized")
+                return
         if self._sink is None and self._must_not_reuse:
             self._transport.close()
         elif self._sink is None:
             self._on_idle(self)
 
+    def give_up(self, reason: str) -> None:
+        """Fail the request in progress and close the connection at once."""
+        self._must_not_reuse = True
+        self._fail(reason)
+        self._transport.abort()
+
     def on_message_begin(self) -> None:
         if self._sink is None:
             self._must_not_reuse = True
@@ -175,6 +201,9 @@
         self._has_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._are_headers_complete:
+            # A trailer field after a chunked body is no part of the head.
+            return
         self._headers.append((name, value))
         lowered = name.lower()
         if lowered == b"content-length":
@@ -187,7 +216,9 @@
             self._closes_after_response = self._closes_after_response or b"close" in value.lower()
 
     def on_headers_complete(self) -> None:
+        self._are_headers_complete = True
         self._status = self._parser.get_status_code()
+        self._has_final_head = self._has_final_head or self._status >= 200
         if self._status in (204, 304):
             self._has_length = True
         if self._is_head and self._status >= 200 and self._sink is not None:
@@ -214,15 +245,21 @@
             if self._must_not_reuse:
                 self._fail("other_answer")
             return
-        self._sink = None
+        self._end_request()
         self.idle_since_ms = self._clock.now_ms()
         if self._has_rejected_response or self._transport.get_write_buffer_size() > 0:
             # In the second case part of the request body is unsent; close() flushes it first.
             self._must_not_reuse = True
         sink.on_response(response)
 
+    def _end_request(self) -> None:
+        self._sink = None
+        self._body = []
+        self._budget.release(self)
+
     def _fail(self, reason: str) -> None:
-        sink, self._sink = self._sink, None
+        sink = self._sink
+        self._end_request()
         if sink is not None:
             sink.on_failure(HttpFailure(reason, True))
 
--- a/citronpaddle/adapters/instance_status.py
+++ b/citronpaddle/adapters/instance_status.py
@@ -10,6 +10,7 @@
 
 from ..documents import Configuration
 from ..errors import ErrorKind, Failure
+from .responses import read_body
 
 
 class InstanceReport(NamedTuple):
@@ -88,7 +89,7 @@
         ) as response:
             if response.status != 200:
                 return _fail(address, f"{path} was answered with status {response.status}")
-            return await response.read()
+            return await read_body(response)
     except TimeoutError:
         return _fail(address, f"no reply within {timeout_ms:.0f} ms")
     except (aiohttp.ClientError, OSError, ValueError) as error:
--- a/citronpaddle/adapters/instances.py
+++ b/citronpaddle/adapters/instances.py
@@ -8,6 +8,7 @@
 from ..errors import ErrorKind, Failure
 from ..models import ListedInstance
 from ..ports import InstanceList
+from .responses import read_body
 
 
 class HttpInstanceList(InstanceList):
@@ -26,7 +27,7 @@
             async with self._session.get(url, timeout=timeout, allow_redirects=False) as response:
                 if response.status != 200:
                     return self._fail(f"status {response.status}")
-                body = json.loads(await response.read())
+                body = json.loads(await read_body(response))
             return tuple(_parse_instance(item) for item in body["instances"])
         except TimeoutError:
             return self._fail(f"no reply within {timeout_ms:.0f} ms")
--- a/citronpaddle/adapters/keyvalue.py
+++ b/citronpaddle/adapters/keyvalue.py
@@ -12,6 +12,7 @@
 
 from ..errors import ErrorKind, Failure
 from ..ports import Compare, KeyValueStore, Put, StoreEntry, StoreRead, TransactionOutcome
+from .responses import read_body
 
 # Stays below the 128 operations per transaction that etcd allows by default.
 MAX_READS_PER_CALL = 120
@@ -43,6 +44,7 @@
         self._current = 0
         self._max_connections = max_connections
         self._session: aiohttp.ClientSession | None = None
+        self._write_session: aiohttp.ClientSession | None = None
 
     async def read(self, keys: Sequence[str], timeout_ms: float) -> StoreRead | Failure:
         entries: list[StoreEntry] = []
@@ -134,24 +136,27 @@
             yield self._fail_on_malformed_reply(error, False)
 
     async def close(self) -> None:
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        sessions = (self._session, self._write_session)
+        self._session = self._write_session = None
+        for session in sessions:
+            if session is not None:
+                await session.close()
 
     async def _post(
         self, path: str, body: dict[str, Any], timeout_ms: float, is_write: bool
     ) -> dict[str, Any] | Failure:
         progress = _Progress()
         timeout = aiohttp.ClientTimeout(total=max(timeout_ms, 1.0) / 1000)
+        session = self._get_write_session() if is_write else self._get_session()
         try:
-            async with self._get_session().post(
+            async with session.post(
                 self._base_url + path,
                 json=body,
                 timeout=timeout,
                 allow_redirects=False,
                 trace_request_ctx=progress,
             ) as response:
-                text = await response.read()
+                text = await read_body(response)
                 if response.status == 200:
                     answer = json.loads(text)
                     if isinstance(answer, dict):
@@ -175,16 +180,22 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            trace = aiohttp.TraceConfig()
-            trace.on_connection_create_end.append(_record_connection)
-            trace.on_connection_reuseconn.append(_record_connection)
-            self._session = aiohttp.ClientSession(
-                # Each watch occupies a connection; watches are few but must not exhaust the pool.
-                connector=aiohttp.TCPConnector(limit=self._max_connections),
-                trace_configs=[trace],
-            )
+            # Each watch occupies a connection; watches are few but must not exhaust the pool.
+            connector = aiohttp.TCPConnector(limit=self._max_connections)
+            self._session = _open_session(connector)
         return self._session
 
+    def _get_write_session(self) -> aiohttp.ClientSession:
+        """Return the session for writes, which opens a connection for each of them.
+
+        Replies carry no id: on a kept connection, a late second copy of an earlier reply could be
+        taken for the outcome of this write.
+        """
+        if self._write_session is None:
+            connector = aiohttp.TCPConnector(limit=self._max_connections, force_close=True)
+            self._write_session = _open_session(connector)
+        return self._write_session
+
     def _fail(self, message: str, may_have_run: bool = False) -> Failure:
         kind = ErrorKind.OUTCOME_UNKNOWN if may_have_run else ErrorKind.STORE_UNAVAILABLE
         failure = Failure(kind, f"store {self._address}: {message}")
@@ -195,6 +206,13 @@
         return self._fail(f"the reply is not that of an etcd v3 store ({error!r})", is_write)
 
 
+def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_record_connection)
+    trace.on_connection_reuseconn.append(_record_connection)
+    return aiohttp.ClientSession(connector=connector, trace_configs=[trace])
+
+
 async def _record_connection(
     session: aiohttp.ClientSession, context: SimpleNamespace, params: Any
 ) -> None:
--- a/citronpaddle/adapters/upstreams.py
+++ b/citronpaddle/adapters/upstreams.py
@@ -1,30 +1,69 @@
 """Client of the upstreams over HTTP/1.1."""
 
 import asyncio
+import itertools
 import json
-from typing import Any
-
-import aiohttp
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, NamedTuple
+from urllib.parse import quote
 
+from ..clock import Clock
 from ..errors import ErrorKind, Failure
 from ..models import KeyRange, ShardInfo, SubReply, SubRequest
 from ..ports import OrderCall, OrderReply, UpstreamReport, UpstreamTransport
+from .connections import Address, ConnectionPool
+from .httpclient import HttpFailure, HttpResponse
 
 # Subtracted from the upstream's connection limit, so that an unresponsive connection can be
 # replaced at once.
 RESERVED_CONNECTIONS = 2
-CONNECT_TIMEOUT_S = 0.5
-CANCEL_TIMEOUT_S = 0.5
-IDLE_TIMEOUT_S = 30.0
+CANCEL_TIMEOUT_MS = 500.0
+# Maximum idle time of a reused connection. The upstream may be closing an older one at the moment
+# at which an order is sent, whose outcome would then be unknown.
+MAX_IDLE_MS = 30_000.0
+MAX_ORDER_IDLE_MS = 250.0
+NO_REUSE_MS = -1.0
 # Returned by an upstream for a request that was cancelled.
 STATUS_CANCELLED = 499
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class _Request(NamedTuple):
+    """A request to an upstream; `id` is repeated in its response."""
+
+    method: str
+    path: str
+    id: str
+    body: bytes = b""
+    max_idle_ms: float = MAX_IDLE_MS
+    headers: Mapping[str, str] = MappingProxyType({})
+
+    def encode(self, address: str, timeout_ms: float) -> bytes:
+        """Return the bytes of the request; the upstream has `timeout_ms` for it."""
+        fields = {
+            "Host": address,
+            REQUEST_ID_HEADER: self.id,
+            "X-Deadline-Ms": str(int(timeout_ms)),
+            "Content-Type": "application/json",
+            "Content-Length": str(len(self.body)),
+            **self.headers,
+        }
+        lines = [f"{self.method} {self.path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        return "\r\n".join([*lines, "", ""]).encode() + self.body
 
 
 class HttpUpstreams(UpstreamTransport):
-    """One connection pool per upstream, bounded by the connection limit of the upstream."""
+    """Connections to each upstream, bounded by the connection limit of the upstream."""
 
-    def __init__(self) -> None:
-        self._sessions: dict[str, aiohttp.ClientSession] = {}
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._pool = ConnectionPool(clock)
+        self._connection_slots: dict[str, asyncio.Semaphore] = {}
+        # The addresses whose last response repeated the id of its request.
+        self._identifying: set[str] = set()
+        self._report_numbers = itertools.count(1)
 
     async def search(self, address: str, max_connections: int, call: SubRequest) -> SubReply:
         document = {
@@ -33,14 +72,8 @@
             "query": call.query,
             "limit": call.limit,
         }
-        result = await self._post(
-            address,
-            max_connections,
-            "/search",
-            json.dumps(document).encode(),
-            {"X-Request-Id": call.call_id},
-            call.deadline_ms,
-        )
+        request = _Request("POST", "/search", call.call_id, json.dumps(document).encode())
+        result = await self._call(address, max_connections, request, call.deadline_ms)
         if isinstance(result, Failure):
             return SubReply(call.call_id, call.upstream, result.kind, result.message, b"")
         return SubReply(call.call_id, call.upstream, "", "", result)
@@ -48,10 +81,9 @@
     async def order(
         self, address: str, max_connections: int, call: OrderCall
     ) -> OrderReply | Failure:
-        headers = {"X-Request-Id": call.call_id, "Idempotency-Key": call.idempotency_key}
-        result = await self._post(
-            address, max_connections, "/orders", call.body, headers, call.deadline_ms
-        )
+        headers = {"Idempotency-Key": call.idempotency_key}
+        request = _Request("POST", "/orders", call.call_id, call.body, MAX_ORDER_IDLE_MS, headers)
+        result = await self._call(address, max_connections, request, call.deadline_ms)
         if isinstance(result, Failure):
             return result
         return OrderReply(result.decode("utf-8", "replace"))
@@ -59,85 +91,100 @@
     async def fetch_report(
         self, address: str, max_connections: int, timeout_ms: float
     ) -> UpstreamReport | Failure:
-        session = self._open_session(address, max_connections)
+        request = _Request("GET", "/index", f"report-{next(self._report_numbers)}")
+        result = await self._call(address, max_connections, request, timeout_ms)
+        if isinstance(result, Failure):
+            return result
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                async with session.get(f"http://{address}/index") as response:
-                    if response.status != 200:
-                        return Failure(ErrorKind.UPSTREAM_ERROR, f"status {response.status}")
-                    return _parse_report(await response.json())
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return Failure(ErrorKind.UPSTREAM_UNAVAILABLE, f"{address}: {error!r}")
+            return _parse_report(json.loads(result))
         except (ValueError, KeyError, TypeError) as error:
             return Failure(ErrorKind.UPSTREAM_ERROR, f"{address}: malformed index: {error!r}")
 
     async def cancel(self, address: str, max_connections: int, call_id: str) -> None:
-        session = self._open_session(address, max_connections)
-        try:
-            async with asyncio.timeout(CANCEL_TIMEOUT_S):
-                async with session.delete(f"http://{address}/requests/{call_id}"):
-                    return
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return
+        path = f"/requests/{quote(call_id, safe='')}"
+        request = _Request("DELETE", path, f"cancel-{call_id}")
+        # The outcome does not matter: the cancelled call itself reports how it ended.
+        await self._call(address, max_connections, request, CANCEL_TIMEOUT_MS)
 
     async def close(self) -> None:
-        sessions, self._sessions = list(self._sessions.values()), {}
-        for session in sessions:
-            await session.close()
+        self._pool.close()
 
     async def disconnect(self, address: str) -> None:
-        """Close the connections to an upstream that this instance no longer owns."""
-        session = self._sessions.pop(address, None)
-        if session is not None:
-            await session.close()
-
-    def _open_session(self, address: str, max_connections: int) -> aiohttp.ClientSession:
-        session = self._sessions.get(address)
-        if session is None:
-            connector = aiohttp.TCPConnector(
-                limit=max(1, max_connections - RESERVED_CONNECTIONS),
-                keepalive_timeout=IDLE_TIMEOUT_S,
-                use_dns_cache=False,
-            )
-            session = aiohttp.ClientSession(
-                connector=connector,
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-                auto_decompress=False,
-                trace_configs=[_make_sent_trace()],
-            )
-            self._sessions[address] = session
-        return session
-
-    async def _post(
-        self,
-        address: str,
-        max_connections: int,
-        path: str,
-        body: bytes,
-        headers: dict[str, str],
-        deadline_ms: float,
+        """Close the idle connections to an upstream that this instance no longer owns."""
+        self._identifying.discard(address)
+        self._pool.close_address(_split_address(address))
+
+    async def _call(
+        self, address: str, max_connections: int, request: _Request, timeout_ms: float
     ) -> bytes | Failure:
-        session = self._open_session(address, max_connections)
-        headers |= {"X-Deadline-Ms": str(int(deadline_ms)), "Content-Type": "application/json"}
-        sent: dict[str, bool] = {}
+        """Send a request and return the body of its successful response."""
+        end_ms = self._clock.now_ms() + timeout_ms
+        slots = self._get_connection_slots(address, max_connections)
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                await slots.acquire()
+        except TimeoutError:
+            return Failure(ErrorKind.UPSTREAM_UNAVAILABLE, f"{address}: no connection was free")
         try:
-            async with asyncio.timeout(deadline_ms / 1000):
-                async with session.post(
-                    f"http://{address}{path}", data=body, headers=headers, trace_request_ctx=sent
-                ) as response:
-                    data = await response.read()
-                    return _classify_response(response, data)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            if not sent.get("sent"):
-                return Failure(ErrorKind.UPSTREAM_UNAVAILABLE, f"{address}: {error!r}")
-            return Failure(ErrorKind.OUTCOME_UNKNOWN, f"{address}: {error!r}")
-
-
-def _classify_response(response: aiohttp.ClientResponse, data: bytes) -> bytes | Failure:
+            result = await self._fetch(address, request, end_ms - self._clock.now_ms())
+        finally:
+            slots.release()
+        if isinstance(result, HttpResponse):
+            return _classify_response(result)
+        kind = ErrorKind.OUTCOME_UNKNOWN if result.is_sent else ErrorKind.UPSTREAM_UNAVAILABLE
+        return Failure(kind, f"{address}: {result.reason}")
+
+    def _get_connection_slots(self, address: str, max_connections: int) -> asyncio.Semaphore:
+        slots = self._connection_slots.get(address)
+        if slots is None:
+            limit = max(1, max_connections - RESERVED_CONNECTIONS)
+            slots = self._connection_slots[address] = asyncio.Semaphore(limit)
+        return slots
+
+    async def _fetch(
+        self, address: str, request: _Request, timeout_ms: float
+    ) -> HttpResponse | HttpFailure:
+        return await self._pool.fetch(
+            _split_address(address),
+            request.encode(address, timeout_ms),
+            lambda response, is_reused: self._accept(request, address, response, is_reused),
+            request.max_idle_ms if address in self._identifying else NO_REUSE_MS,
+            timeout_ms,
+        )
+
+    def _accept(
+        self, request: _Request, address: str, response: HttpResponse, is_reused: bool
+    ) -> bool:
+        """Return whether the response repeats the request's id, or has none on a new connection.
+
+        A second copy of an earlier response may arrive on a kept connection. Only the id shows
+        that, so connections are reused only to upstreams that repeat it.
+        """
+        response_id = _find_header(response, REQUEST_ID_HEADER)
+        if response_id is None:
+            self._identifying.discard(address)
+            return not is_reused
+        self._identifying.add(address)
+        return response_id == request.id
+
+
+def _split_address(address: str) -> Address:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _find_header(response: HttpResponse, name: str) -> str | None:
+    key = name.lower().encode()
+    values = (value for field, value in response.headers if field.lower() == key)
+    value = next(values, None)
+    return None if value is None else value.decode("latin-1")
+
+
+def _classify_response(response: HttpResponse) -> bytes | Failure:
     if response.status == 200:
-        return data
-    text = data[:200].decode("utf-8", "replace")
-    if response.headers.get("X-Not-Run") == "1":
+        return response.body
+    text = response.body[:200].decode("utf-8", "replace")
+    if _find_header(response, "X-Not-Run") == "1":
         return Failure(ErrorKind.OVERLOADED, f"shed by the upstream: {text}")
     if response.status == STATUS_CANCELLED:
         return Failure(ErrorKind.CANCELLED, "cancelled at the upstream")
@@ -147,22 +194,6 @@
     return Failure(kind, f"status {response.status}: {text}")
 
 
-def _make_sent_trace() -> aiohttp.TraceConfig:
-    """Return a trace that marks a request as sent once it has a connection.
-
-    From that moment the upstream may have received part of the request.
-    """
-
-    async def mark(_session: Any, context: Any, _params: Any) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx["sent"] = True
-
-    config = aiohttp.TraceConfig()
-    config.on_connection_create_end.append(mark)
-    config.on_connection_reuseconn.append(mark)
-    return config
-
-
 def _parse_report(document: dict[str, Any]) -> UpstreamReport:
     shards = tuple(
         ShardInfo(
--- a/citronpaddle/client.py
+++ b/citronpaddle/client.py
@@ -12,6 +12,7 @@
 import aiohttp
 from yarl import URL
 
+from .adapters.responses import read_body
 from .clock import Clock, SystemClock
 from .errors import ErrorKind, Failure, RunState
 from .models import Address, Coverage, KeyRange, QueryAnswer
@@ -418,7 +419,7 @@
                 timeout=_make_timeout(remaining_ms),
                 trace_request_ctx=send_state,
             ) as response:
-                raw = await response.read()
+                raw = await read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._address_cache.mark_failed(address)
             return _make_loss_attempt(address, send_state.is_sent, error)
@@ -453,7 +454,7 @@
                 allow_redirects=False,
                 timeout=_make_timeout(LOOKUP_TIMEOUT_MS),
             ) as response:
-                document = json.loads(await response.read())
+                document = json.loads(await read_body(response))
                 if response.status != 200:
                     return _parse_failure(document)[0]
                 addresses = _parse_addresses(document["addresses"])
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -32,6 +32,8 @@
 # that was in use this recently: the upstream may be closing an older one at the same moment.
 MAX_NON_IDEMPOTENT_IDLE_MS = 250.0
 MAX_IDEMPOTENT_IDLE_MS = 3_600_000.0
+# The reasons of failures caused by bytes that are no acceptable response.
+MALFORMED_RESPONSE_REASONS = frozenset({"garbled", "oversized"})
 
 
 class CallCodec(ABC):
@@ -170,7 +172,9 @@
             failure_kind = FailureKind.UNREACHABLE
         else:
             failure_kind = (
-                FailureKind.GARBLED if failure.reason == "garbled" else FailureKind.BROKEN
+                FailureKind.GARBLED
+                if failure.reason in MALFORMED_RESPONSE_REASONS
+                else FailureKind.BROKEN
             )
         self._handle_call_failure(call, CallFailure(failure_kind), self._clock.now_ms())
 
--- a/citronpaddle/node.py
+++ b/citronpaddle/node.py
@@ -93,7 +93,7 @@
         )
         self._member_view = MemberView(self._membership)
         self._store = EtcdStore(*settings.store.addresses)
-        self._transport = HttpUpstreams()
+        self._transport = HttpUpstreams(environment.clock)
         self._peers = ThriftPeers(FrameClient(environment.clock, links, self._count_frame))
         self._distributor = self._make_distributor(environment)
         self._leases = self._make_leases(environment)
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -1,13 +1,12 @@
 """The HTTP client of the platform's key-value store."""
 
-import asyncio
 import base64
 import json
 from typing import Any
 from urllib.parse import quote
 
 from ..adapters.connections import Address, ConnectionPool
-from ..adapters.httpclient import HttpFailure, HttpResponse, ResponseSink
+from ..adapters.httpclient import HttpFailure, HttpResponse
 from ..statestore import (
     HistoryLost,
     Lease,
@@ -129,33 +128,14 @@
             f"{method} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
         ).encode() + content
-        future: asyncio.Future[HttpResponse | HttpFailure] = (
-            asyncio.get_running_loop().create_future()
+        response = await self._pool.fetch(
+            self._address, request, lambda response, is_reused: True, _MAX_IDLE_MS, timeout_ms
         )
-        sink = ResponseSink(lambda response: True, _make_resolver(future), _make_resolver(future))
-        dispatch = self._pool.dispatch(self._address, lambda: request, sink, _MAX_IDLE_MS)
-        try:
-            async with asyncio.timeout(timeout_ms / 1_000):
-                response = await future
-        except TimeoutError:
-            dispatch.cancel()
-            return StoreFailure("no answer in time")
-        except asyncio.CancelledError:
-            dispatch.cancel()
-            raise
         if isinstance(response, HttpFailure):
             return StoreFailure(response.reason)
         return _read_response(response, absent_status)
 
 
-def _make_resolver(future: asyncio.Future):
-    def resolve(result) -> None:
-        if not future.done():
-            future.set_result(result)
-
-    return resolve
-
-
 def _read_response(response: HttpResponse, absent_status: int) -> tuple[int, Any] | StoreFailure:
     if response.status == absent_status:
         return response.status, None
--- a/citronpaddle/standins/upstream.py
+++ b/citronpaddle/standins/upstream.py
@@ -355,6 +355,7 @@
         connection = next((c for c in self._connections if c.handler is request.protocol), None)
         self.calls_by_kind[f"{request.method} /{request.path.split('/')[1]}"] += 1
         response = await handler(request)
+        response.headers["X-Request-Id"] = request.headers.get("X-Request-Id", "")
         if connection and (connection.is_silent or self.options.is_silent):
             await connection.lost.wait()
         return response
--- a/extras/measuring/builders.py
+++ b/extras/measuring/builders.py
@@ -5,7 +5,7 @@
 
 from citronpaddle.adapters.logs import LogFactory
 from citronpaddle.adapters.upstreams import HttpUpstreams
-from citronpaddle.clock import VirtualClock
+from citronpaddle.clock import SystemClock, VirtualClock
 from citronpaddle.documents import (
     Configuration,
     Head,
@@ -160,7 +160,7 @@
         environment,
         names[0],
         "domain-0",
-        HttpUpstreams(),
+        HttpUpstreams(SystemClock()),
         keeper,
         lambda: configuration,
     )
--- a/extras/measuring/calls.py
+++ b/extras/measuring/calls.py
@@ -7,6 +7,7 @@
 import click
 
 from citronpaddle.adapters.upstreams import HttpUpstreams
+from citronpaddle.clock import SystemClock
 
 from .bench import BenchmarkCluster
 from .sizes import MAX_CONNECTIONS
@@ -54,7 +55,7 @@
 
     server = await asyncio.start_server(relay_connection, "127.0.0.1", 0)
     relay = "{}:{}".format(*server.sockets[0].getsockname()[:2])
-    transport = HttpUpstreams()
+    transport = HttpUpstreams(SystemClock())
 
     async def fetch_report_from(target: str) -> None:
         await transport.fetch_report(target, MAX_CONNECTIONS, CALL_TIMEOUT_MS)
--- a/extras/measuring/memory.py
+++ b/extras/measuring/memory.py
@@ -14,6 +14,7 @@
 
 from citronpaddle.adapters.messages import decode_indexes, encode_indexes
 from citronpaddle.adapters.upstreams import HttpUpstreams
+from citronpaddle.clock import SystemClock
 from citronpaddle.policy.snapshot import pin_snapshot
 from citronpaddle.settings import PeerSettings
 
@@ -136,7 +137,7 @@
     bench = BenchmarkCluster()
     try:
         addresses = bench.start_upstream_hosts(size, 1)
-        transport = HttpUpstreams()
+        transport = HttpUpstreams(SystemClock())
         gc.collect()
         tracemalloc.start()
         before = tracemalloc.get_traced_memory()[0]
