Keep relayed removals during a full read, and answer after an internal error

Cause: after lost history an instance reads the whole store in pages. Changes that a watcher relayed meanwhile were applied and then undone by the older view, so an upstream that had left was used again until the next watch. An error inside the handling of a request left its caller without an answer, and an error in a protocol callback was taken for a malformed response without a log line. Ruled out: a start, which ignores relayed changes until the first view. Change: removals seen during a full read override the view, and the revision never decreases. Such errors are logged; the caller gets 502.

--- a/citronpaddle/adapters/httpclient.py
+++ b/citronpaddle/adapters/httpclient.py
@@ -25,6 +25,8 @@
 _IDLE_TIMEOUT_SHARE = 0.75
 # Time for which an idle connection is reused if the upstream advertises no timeout.
 DEFAULT_MAX_IDLE_MS = 4_000.0
+# An advertised idle timeout with more digits is ignored.
+_MAX_TIMEOUT_DIGITS = 9
 # Maximum size of a response's head, with any interim (1xx) responses before it.
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -174,6 +176,10 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            # An error of ours, not of the upstream: the event loop's handler logs it.
+            self.give_up("internal_error")
+            raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.give_up("garbled")
             return
@@ -266,5 +272,5 @@
     def _read_keep_alive(self, value: bytes) -> None:
         for item in value.lower().split(b","):
             name, _, number = item.strip().partition(b"=")
-            if name == b"timeout" and number.isdigit():
+            if name == b"timeout" and number.isdigit() and len(number) <= _MAX_TIMEOUT_DIGITS:
                 self._max_idle_ms = int(number) * 1_000.0 * _IDLE_TIMEOUT_SHARE
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -142,6 +142,8 @@
         self._relay = relay
         # Set when other instances have changes that this instance has missed.
         self._has_gap = asyncio.Event()
+        # During a full read, the revisions at which keys were removed by relayed changes.
+        self._removed_while_reading: dict[str, int] | None = None
         # Set when the watch in progress may never be answered.
         self._is_watch_suspect = asyncio.Event()
         self._lease: Lease | None = None
@@ -194,6 +196,7 @@
     async def _follow(self) -> None:
         retry_ms = self._times.first_retry_ms
         while True:
+            self._removed_while_reading = {}
             view = await self._store.read_all("")
             if isinstance(view, StoreFailure):
                 retry_ms = await self._pause(view, retry_ms)
@@ -338,14 +341,19 @@
             self._log.write(Event.STORE_REGAINED, "fleet", lost_ms=round(lost_ms))
 
     def _apply_view(self, view: StoreView) -> None:
-        """Apply a full view of the store; keys that are not in it have been deleted."""
+        """Apply a full view of the store; keys that are not in it have been deleted.
+
+        Changes relayed while the view was read may be newer than it and stay in effect.
+        """
+        removed, self._removed_while_reading = self._removed_while_reading or {}, None
         present = {item.key for item in view.items}
         for key in list(self._revisions):
             if key not in present:
                 self._apply_item(StoreItem(key, None, view.revision))
         for item in view.items:
-            self._apply_item(item)
-        self._state.revision = view.revision
+            if item.revision > removed.get(item.key, 0):
+                self._apply_item(item)
+        self._state.revision = max(self._state.revision, view.revision)
         self._on_change()
 
     def _apply_item(self, item: StoreItem) -> None:
@@ -354,6 +362,8 @@
             return
         if item.value is None:
             self._revisions.pop(item.key, None)
+            if self._removed_while_reading is not None:
+                self._removed_while_reading[item.key] = item.revision
         else:
             self._revisions[item.key] = item.revision
         upstream_id = self._decoder.find_upstream_id(item.key)
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -8,7 +8,7 @@
 import itertools
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from .adapters.connections import Address, ConnectionPool
 from .adapters.counts import Counts, render
@@ -220,6 +220,7 @@
     async def start(self) -> None:
         """Listen and start following the store; raise OSError if an address can't be used."""
         settings = self._settings
+        asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
         for address, service in (
             (settings.callers_address, RequestService(self)),
             (settings.ready_address, StatusService(self)),
@@ -345,6 +346,10 @@
         }
         return render(self.counts, gauges)
 
+    def log_error(self, error: BaseException) -> None:
+        """Log an unexpected error; the instance continues to serve."""
+        self._log.write(Event.INTERNAL_ERROR, "gateway", reason=repr(error))
+
     def handle_caller_left(self, runner: ExchangeRunner) -> None:
         """Record that the caller closed its connection, and cancel its request."""
         self.counts.add("requests", "caller_left")
@@ -373,7 +378,7 @@
             try:
                 self._maintain(self._clock.now_ms() - sleep_started_ms - MAINTENANCE_INTERVAL_MS)
             except Exception as error:
-                self._log.write(Event.INTERNAL_ERROR, "gateway", reason=repr(error))
+                self.log_error(error)
 
     def _maintain(self, loop_lag_ms: float) -> None:
         """Run the periodic checks; `loop_lag_ms` is how late their timer fired."""
@@ -392,7 +397,11 @@
     def _handle_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._log.write(Event.INTERNAL_ERROR, "gateway", reason=repr(task.exception()))
+            self.log_error(task.exception())
+
+    def _handle_loop_error(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Log an error that no caller of ours can handle, such as one in a protocol callback."""
+        self.log_error(context.get("exception") or RuntimeError(context["message"]))
 
     def _handle_state_change(self) -> None:
         self._peering.review()
@@ -478,7 +487,13 @@
         self._runners: dict[CallerConnection, ExchangeRunner] = {}
 
     def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        runner = self._gateway.serve(request, connection)
+        try:
+            runner = self._gateway.serve(request, connection)
+        except Exception as error:
+            # Without an answer the caller would wait until its deadline.
+            self._gateway.log_error(error)
+            connection.answer(HttpAnswer(502, (), b"internal error"))
+            return
         if runner is not None and connection.is_busy:
             self._runners[connection] = runner
         else:
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -18,7 +18,8 @@
     """In-memory store for any number of instances.
 
     While `is_down`, calls fail. The next `unanswered_watches` watches never return. `log` holds the
-    name of every call. A watch returns at most `max_changes` changes.
+    name of every call. A watch returns at most `max_changes` changes. While `is_read_blocked`, full
+    reads return the state at the time of their call, but only when it is no longer set.
     """
 
     def __init__(self) -> None:
@@ -29,6 +30,7 @@
         self.is_down = False
         self.unanswered_watches = 0
         self.max_changes = 1_000
+        self.is_read_blocked = False
         self.log: list[str] = []
         self._leases: dict[int, set[str]] = {}
         self._changed = asyncio.Event()
@@ -62,7 +64,10 @@
         self.log.append("read_all")
         if self.is_down:
             return StoreFailure("down")
-        return StoreView(tuple(self.items.values()), self.revision)
+        view = StoreView(tuple(self.items.values()), self.revision)
+        while self.is_read_blocked:  # noqa: ASYNC110 - set by tests
+            await asyncio.sleep(0.005)
+        return view
 
     async def read_revision(self) -> int | StoreFailure:
         self.log.append("read_revision")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,12 +14,13 @@
 from citronpaddle.clock import SystemClock
 from citronpaddle.fleet import MEMBER_PREFIX, SharedState, StoreCallTimes, StoreFollower
 from citronpaddle.platform.codec import PlatformStateDecoder
-from citronpaddle.policy.feed import Feed
+from citronpaddle.policy.feed import Feed, FeedBatch
 from citronpaddle.policy.members import Member, Members
 from citronpaddle.policy.registry import Registry
 from citronpaddle.policy.selection import Selector
 from citronpaddle.policy.slowstart import ColdLimits, SlowStart
 from citronpaddle.randomness import RandomSource
+from citronpaddle.statestore import StoreItem
 
 TIMES = StoreCallTimes(
     watch_wait_ms=600_000,
@@ -297,6 +298,32 @@
     run_scenario(scenario)
 
 
+def test_feed_does_not_bring_back_an_upstream_that_left_during_a_full_read():
+    """Guards against a view that is older than the changes relayed while it was being read.
+
+    The history is lost; while the slow full read is in progress, a watcher relays the removal of an
+    upstream that the view still contains.
+    """
+
+    async def scenario(store, follower):
+        reads = store.log.count("read_all")
+        store.is_read_blocked = True
+        store.write("servers/b", make_entry())
+        store.compact_history()
+        await wait_until(lambda: store.log.count("read_all") > reads)
+        known = follower.state.revision
+        store.delete("servers/a")
+        removal = StoreItem("servers/a", None, store.revision)
+        batch = FeedBatch(known, store.revision, 0.0, (removal,))
+        follower.store_follower.apply_batch("i1", batch)
+        assert follower.list_upstreams() == []
+        store.is_read_blocked = False
+        await wait_until(lambda: "b" in follower.list_upstreams())
+        assert follower.list_upstreams() == ["b"]
+
+    run_scenario(scenario)
+
+
 def test_own_entry_is_written_again_after_its_removal():
     """Guards against an instance that is never listed again after its entry was removed."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -615,3 +615,45 @@
         assert not list_executed(setup)
 
     run_scenario(scenario)
+
+
+def test_unexpected_error_ends_one_request_only():
+    """Guards against an error in one request that leaves its caller waiting or ends the process."""
+
+    async def scenario(setup):
+        serve, setup.gateway.serve = setup.gateway.serve, None
+        caller = await setup.connect()
+        status, _, _ = await caller.ask(path="/p/x", attempt="t1")
+        assert status == 502
+        setup.gateway.serve = serve
+        status, _, _ = await caller.ask(path="/p/x", attempt="t2")
+        assert status == 200
+
+    run_scenario(scenario)
+
+
+def test_endless_response_is_replaced_by_another_upstream():
+    """Guards against a caller that waits while an upstream sends a response without end."""
+
+    async def scenario(setup):
+        async def send_without_end(connection):
+            while not connection.transport.is_closing():
+                if connection.transport.get_write_buffer_size() < 65_536:
+                    connection.transport.write(b"x" * 65_536)
+                await asyncio.sleep(0)
+
+        tasks = []
+
+        def answer(request, connection):
+            connection.transport.write(b"HTTP/1.1 200 OK\r\nX-Filler: ")
+            tasks.append(asyncio.create_task(send_without_end(connection)))
+            return True
+
+        setup.platform.upstreams["a"].answer = answer
+        for number in range(6):
+            status, _, body = await setup.ask(path="/p/x", attempt=f"t{number}")
+            assert status == 200 and body == setup.platform.upstreams["b"].body
+        assert tasks
+        await asyncio.wait_for(asyncio.gather(*tasks), 20)
+
+    run_scenario(scenario)
