Let orders wait for the store's revision, and close connections with the lease

Owner.disconnect only set a flag that nothing read, so connections to upstreams whose lease was lost stayed open against the claim in docs/invariants.md. Ruled out: listing an instance as live only with that knowledge, which would delay the leases of a whole fresh start by the 5 s in which no peer reports. Change: an order waits up to 2 s for the report, then the confirmation is read. Connections are closed once no call or report of the upstream is in progress. Code without a caller is removed: _set_member, pull_from_peers, ObservedChoice.prune, Instance.is_busy.

--- a/citronpaddle/distribution.py
+++ b/citronpaddle/distribution.py
@@ -102,11 +102,6 @@
         finally:
             self._cancel_watch()
 
-    async def pull_from_peers(self) -> bool:
-        """Pull from every known peer; return whether any of them replied."""
-        replied = [await self._pull(name) for name in list(self._find_revisions())]
-        return any(replied)
-
     async def _load_initial(self) -> None:
         if self._clock.now_ms() < self._next_initial_pull_ms:
             return
--- a/citronpaddle/order.py
+++ b/citronpaddle/order.py
@@ -38,6 +38,7 @@
 # The backoff of a settlement is multiplied by a random factor in this range.
 MIN_BACKOFF_FACTOR = 0.5
 MAX_BACKOFF_FACTOR = 1.0
+READINESS_CHECK_INTERVAL_S = 0.02
 
 
 class OrderSender(ABC):
@@ -73,6 +74,8 @@
 
     store_timeout_ms: float = 1_000.0
     max_deadline_ms: float = 60_000.0
+    # Peers report the store's revision with every heartbeat.
+    readiness_wait_ms: float = 2_000.0
     send_grace_ms: float = 1_000.0
     max_claim_attempts: int = 4
     retry_interval_ms: float = 1_000.0
@@ -273,6 +276,7 @@
         return _Order(service, idempotency_key, body, end_ms, claim_key, claim)
 
     async def _run(self, order: _Order) -> OrderDone | Failure:
+        await self._wait_for_readiness(order)
         await self._refresh_if_refused()
         refusal = self.guard.check()
         if refusal:
@@ -289,6 +293,18 @@
         await self._store_outcome(order, claimed, make_outcome_record(order.claim, reply))
         return reply if isinstance(reply, Failure) else OrderDone(reply.body, replayed=False)
 
+    async def _wait_for_readiness(self, order: _Order) -> None:
+        """Wait, within limits, until a peer has reported the store's revision to the guard.
+
+        An instance is listed for callers as soon as it answers queries. Orders that reach it before
+        that report are delayed instead of refused.
+        """
+        end_ms = min(order.deadline_ms, self._clock.now_ms() + self._limits.readiness_wait_ms)
+        while not self.guard.is_ready:
+            if self._clock.now_ms() >= end_ms:
+                return
+            await asyncio.sleep(READINESS_CHECK_INTERVAL_S)
+
     async def _refresh_if_refused(self) -> None:
         async with self._refresh_lock:
             refusal = self.guard.check()
--- a/citronpaddle/owner.py
+++ b/citronpaddle/owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable, Hashable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Hashable, Iterable
 from dataclasses import dataclass
 
 from .async_admission import AsyncAdmission
@@ -91,7 +91,7 @@
         self._get_configuration = get_configuration
         self._owned: dict[str, _OwnedUpstream] = {}
         self._calls: dict[str, str] = {}
-        self._cancellations: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     # Configuration and state
 
@@ -137,6 +137,7 @@
         owned = self._owned.get(upstream)
         if owned is None:
             return
+        owned.must_disconnect = False
         owned.next_report_ms = float("-inf")
         self._refuse_waiting(owned, "the owner of the upstream changed")
         if owned.admission.in_flight == 0:
@@ -144,7 +145,7 @@
             owned.admission, owned.async_admission = fresh.admission, fresh.async_admission
 
     def disconnect(self, upstreams: Iterable[str]) -> None:
-        """Mark upstreams whose lease is gone as to be disconnected once their calls have ended.
+        """Disconnect upstreams whose lease is gone, each once its calls have ended.
 
         The next owner opens its own connections, and the sum must stay below the upstream's limit.
         """
@@ -152,6 +153,19 @@
             owned = self._owned.get(name)
             if owned is not None:
                 owned.must_disconnect = True
+                self._disconnect_if_idle(owned)
+
+    def _disconnect_if_idle(self, owned: _OwnedUpstream) -> None:
+        """Close the connections of an upstream whose lease is gone, once no call uses them."""
+        is_idle = owned.admission.in_flight == 0 and owned.report_task is None
+        if owned.must_disconnect and is_idle:
+            owned.must_disconnect = False
+            self._start_task(self._transport.disconnect(owned.spec.address))
+
+    def _start_task(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def describe(self, upstreams: Iterable[str]) -> list[UpstreamIndex]:
         """Return the state and shards of `upstreams`.
@@ -223,11 +237,7 @@
                 continue
             # The slot stays in use until the upstream has replied.
             spec = owned.spec
-            task = asyncio.create_task(
-                self._transport.cancel(spec.address, spec.max_connections, call_id)
-            )
-            self._cancellations.add(task)
-            task.add_done_callback(self._cancellations.discard)
+            self._start_task(self._transport.cancel(spec.address, spec.max_connections, call_id))
 
     async def _run_call(
         self,
@@ -299,6 +309,7 @@
             if is_open:
                 self._close_call(upstream, result, deadline_ms - now_ms)
             async_admission.apply(admission.finish(now_ms, call_id, result))
+            self._disconnect_if_idle(owned)
 
     def _classify(self, kind: ErrorKind | None, deadline_ms: float) -> CallResult:
         if kind is None:
@@ -344,6 +355,7 @@
             )
         finally:
             owned.report_task = None
+            self._disconnect_if_idle(owned)
         if isinstance(report, Failure):
             return
         if owned.report is not None and owned.report.boot_id != report.boot_id:
--- a/citronpaddle/policy/changes.py
+++ b/citronpaddle/policy/changes.py
@@ -472,10 +472,6 @@
     return _Draft(summary, old.services, old.presets, fields, details)
 
 
-def _set_member(members: tuple[str, ...], name: str, is_member: bool) -> tuple[str, ...]:
-    return _set_members(members, (name,), is_member)
-
-
 def _set_members(
     members: tuple[str, ...], names: Iterable[str], is_member: bool
 ) -> tuple[str, ...]:
--- a/citronpaddle/policy/orders.py
+++ b/citronpaddle/policy/orders.py
@@ -300,6 +300,11 @@
         self._confirmation_mod_revision = -1
         self._confirmation = Confirmation(seen_revision=0, store_revision=0)
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the store's revision is known; `hold` ends that."""
+        return self._is_floor_current
+
     def merge_knowledge(
         self, floor: int, regressed_from: int, witness: Witness | None = None
     ) -> None:
--- a/citronpaddle/policy/routing.py
+++ b/citronpaddle/policy/routing.py
@@ -112,11 +112,6 @@
         observation = self._observe(upstream)
         observation.in_flight = max(0, observation.in_flight - 1)
 
-    def prune(self, known: Collection[str]) -> None:
-        """Remove the observations of upstreams that are not in `known`."""
-        for upstream in [name for name in self._observations if name not in known]:
-            del self._observations[upstream]
-
     def _observe(self, upstream: str) -> _Observation:
         return self._observations.setdefault(upstream, _Observation())
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -59,7 +59,6 @@
             part: reserve_port() for part in ("callers", "ready", "directory", "hints")
         }
         self.ports = {part: reserved.getsockname()[1] for part, reserved in self._reserved.items()}
-        self.is_busy = False
         self._settings_path = (folder / f"{name}.toml").resolve()
         self._history = history
         self._process: asyncio.subprocess.Process | None = None
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -359,6 +359,33 @@
     run_without_faults(scenario)
 
 
+def test_an_order_waits_for_the_first_report_of_a_peer():
+    """Guards against a refused order at an instance that has just started and is already listed."""
+
+    async def scenario(system, a, b):
+        started = Process(system, "c", 1)
+        system.processes.append(started)
+        asyncio.get_running_loop().call_later(0.8, started.runner.guard.merge_knowledge, 1, 0)
+        await perform_order(system, started, 0, "early", b"x")
+        ((_, _, result),) = system.results.values()
+        assert not isinstance(result, Failure)
+
+    run_without_faults(scenario)
+
+
+def test_an_order_is_refused_when_no_peer_reports():
+    """Guards against an order that waits until its deadline, or runs without that knowledge."""
+
+    async def scenario(system, a, b):
+        started = Process(system, "c", 1)
+        system.processes.append(started)
+        await perform_order(system, started, 0, "early", b"x")
+        ((_, _, result),) = system.results.values()
+        assert isinstance(result, Failure) and result.kind is ErrorKind.NOT_READY
+
+    run_without_faults(scenario)
+
+
 async def refuse(*_):
     return Failure(ErrorKind.UPSTREAM_UNAVAILABLE, "refused")
 
