--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -657,3 +657,22 @@
         await asyncio.wait_for(asyncio.gather(*tasks), 20)
 
     run_scenario(scenario)
+
+
+def test_work_of_an_upstream_that_fell_silent_is_neither_given_up_nor_repeated():
+    """Guards against a second run, or a lost answer, when a busy upstream's entry lapses."""
+
+    async def scenario(setup):
+        for upstream in setup.platform.upstreams.values():
+            upstream.processing_ms = 600.0
+        caller = await setup.connect()
+        caller.send(method="POST", path="/u/x", body=b"order")
+        await setup.wait_until(lambda: bool(list_executed(setup)))
+        for name in ("a", "b"):
+            setup.platform.store.delete(f"servers/{name}")
+        await setup.wait_until(lambda: len(setup.gateway.state.registry) == 1)
+        status, headers, _ = await caller.read()
+        assert status == 200 and headers["citronpaddle-server-stamp"].endswith(".t1")
+        assert len(list_executed(setup)) == 1
+
+    run_scenario(scenario)
