Keep connections for parallel calls, and close one after an internal error

Found on reading the change: with one idle connection an upstream with several slots got a new connection for most calls on the product's own interface; after an internal error, calls that had been started could deliver their outcome to the next request on the connection; an id with a line break could add header fields. Change: the own interface keeps up to 16 idle connections an upstream; the connection is closed after an internal error; such ids are refused as not run.

--- a/citronpaddle/adapters/connections.py
+++ b/citronpaddle/adapters/connections.py
@@ -40,9 +40,15 @@
 class ConnectionPool:
     """Connections by address; the caller limits the number of open requests per address."""
 
-    def __init__(self, clock: Clock, limits: ReceiveLimits = DEFAULT_RECEIVE_LIMITS) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limits: ReceiveLimits = DEFAULT_RECEIVE_LIMITS,
+        max_idle_per_address: int = MAX_IDLE_PER_ADDRESS,
+    ) -> None:
         """Create an empty pool; `limits` bound the responses that its connections receive."""
         self._clock = clock
+        self._max_idle_per_address = max_idle_per_address
         self._budget = ReceiveBudget(limits)
         self._idle: dict[Address, list[HttpConnection]] = {}
         self._addresses: dict[HttpConnection, Address] = {}
@@ -183,7 +189,7 @@
             return
         idle = self._idle.setdefault(address, [])
         idle.append(connection)
-        if len(idle) > MAX_IDLE_PER_ADDRESS:
+        if len(idle) > self._max_idle_per_address:
             idle.pop(0).close()
 
     def _handle_closed(self, connection: HttpConnection) -> None:
--- a/citronpaddle/adapters/httpserver.py
+++ b/citronpaddle/adapters/httpserver.py
@@ -225,6 +225,11 @@
         if self._pipelined:
             asyncio.get_running_loop().call_soon(self._handle_next_and_resume)
 
+    def answer_and_close(self, answer: HttpAnswer) -> None:
+        """Send the answer to the request in progress and close the connection."""
+        self._keeps_alive = False
+        self.answer(answer)
+
     def _handle_next_and_resume(self) -> None:
         self._handle_next()
         if not self._pipelined and not self._is_closed:
--- a/citronpaddle/adapters/upstreams.py
+++ b/citronpaddle/adapters/upstreams.py
@@ -13,16 +13,19 @@
 from ..models import KeyRange, ShardInfo, SubReply, SubRequest
 from ..ports import OrderCall, OrderReply, UpstreamReport, UpstreamTransport
 from .connections import Address, ConnectionPool
-from .httpclient import HttpFailure, HttpResponse
+from .httpclient import HttpResponse
 
 # Subtracted from the upstream's connection limit, so that an unresponsive connection can be
 # replaced at once.
 RESERVED_CONNECTIONS = 2
+# Only the owner of an upstream calls it, so connections are kept for all of its slots.
+MAX_IDLE_PER_UPSTREAM = 16
 CANCEL_TIMEOUT_MS = 500.0
 # Maximum idle time of a reused connection. The upstream may be closing an older one at the moment
 # at which an order is sent, whose outcome would then be unknown.
 MAX_IDLE_MS = 30_000.0
 MAX_ORDER_IDLE_MS = 250.0
+# No idle time is this short, so that the request gets a new connection.
 NO_REUSE_MS = -1.0
 # Returned by an upstream for a request that was cancelled.
 STATUS_CANCELLED = 499
@@ -40,7 +43,10 @@
     headers: Mapping[str, str] = MappingProxyType({})
 
     def encode(self, address: str, timeout_ms: float) -> bytes:
-        """Return the bytes of the request; the upstream has `timeout_ms` for it."""
+        """Return the bytes of the request; the upstream has `timeout_ms` for it.
+
+        Raise ValueError if a line break would end a header field early.
+        """
         fields = {
             "Host": address,
             REQUEST_ID_HEADER: self.id,
@@ -51,6 +57,8 @@
         }
         lines = [f"{self.method} {self.path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
+        if not all(line.isprintable() for line in lines):
+            raise ValueError("an unprintable character in a header field")
         return "\r\n".join([*lines, "", ""]).encode() + self.body
 
 
@@ -59,7 +67,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._pool = ConnectionPool(clock)
+        self._pool = ConnectionPool(clock, max_idle_per_address=MAX_IDLE_PER_UPSTREAM)
         self._connection_slots: dict[str, asyncio.Semaphore] = {}
         # The addresses whose last response repeated the id of its request.
         self._identifying: set[str] = set()
@@ -118,6 +126,10 @@
         self, address: str, max_connections: int, request: _Request, timeout_ms: float
     ) -> bytes | Failure:
         """Send a request and return the body of its successful response."""
+        try:
+            content = request.encode(address, timeout_ms)
+        except ValueError as error:
+            return Failure(ErrorKind.BAD_REQUEST, f"{address}: {error}")
         end_ms = self._clock.now_ms() + timeout_ms
         slots = self._get_connection_slots(address, max_connections)
         try:
@@ -126,7 +138,13 @@
         except TimeoutError:
             return Failure(ErrorKind.UPSTREAM_UNAVAILABLE, f"{address}: no connection was free")
         try:
-            result = await self._fetch(address, request, end_ms - self._clock.now_ms())
+            result = await self._pool.fetch(
+                _split_address(address),
+                content,
+                lambda response, is_reused: self._accept(request, address, response, is_reused),
+                request.max_idle_ms if address in self._identifying else NO_REUSE_MS,
+                end_ms - self._clock.now_ms(),
+            )
         finally:
             slots.release()
         if isinstance(result, HttpResponse):
@@ -141,17 +159,6 @@
             slots = self._connection_slots[address] = asyncio.Semaphore(limit)
         return slots
 
-    async def _fetch(
-        self, address: str, request: _Request, timeout_ms: float
-    ) -> HttpResponse | HttpFailure:
-        return await self._pool.fetch(
-            _split_address(address),
-            request.encode(address, timeout_ms),
-            lambda response, is_reused: self._accept(request, address, response, is_reused),
-            request.max_idle_ms if address in self._identifying else NO_REUSE_MS,
-            timeout_ms,
-        )
-
     def _accept(
         self, request: _Request, address: str, response: HttpResponse, is_reused: bool
     ) -> bool:
@@ -165,26 +172,24 @@
             self._identifying.discard(address)
             return not is_reused
         self._identifying.add(address)
-        return response_id == request.id
+        return response_id == request.id.encode()
 
 
 def _split_address(address: str) -> Address:
     host, _, port = address.rpartition(":")
-    return host, int(port)
+    return host.strip("[]"), int(port)
 
 
-def _find_header(response: HttpResponse, name: str) -> str | None:
+def _find_header(response: HttpResponse, name: str) -> bytes | None:
     key = name.lower().encode()
-    values = (value for field, value in response.headers if field.lower() == key)
-    value = next(values, None)
-    return None if value is None else value.decode("latin-1")
+    return next((value for field, value in response.headers if field.lower() == key), None)
 
 
 def _classify_response(response: HttpResponse) -> bytes | Failure:
     if response.status == 200:
         return response.body
     text = response.body[:200].decode("utf-8", "replace")
-    if _find_header(response, "X-Not-Run") == "1":
+    if _find_header(response, "X-Not-Run") == b"1":
         return Failure(ErrorKind.OVERLOADED, f"shed by the upstream: {text}")
     if response.status == STATUS_CANCELLED:
         return Failure(ErrorKind.CANCELLED, "cancelled at the upstream")
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -490,9 +490,10 @@
         try:
             runner = self._gateway.serve(request, connection)
         except Exception as error:
-            # Without an answer the caller would wait until its deadline.
+            # Without an answer the caller would wait until its deadline. The connection is closed,
+            # since calls that were started may still deliver an outcome to it.
             self._gateway.log_error(error)
-            connection.answer(HttpAnswer(502, (), b"internal error"))
+            connection.answer_and_close(HttpAnswer(502, (), b"internal error"))
             return
         if runner is not None and connection.is_busy:
             self._runners[connection] = runner
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -623,10 +623,11 @@
     async def scenario(setup):
         serve, setup.gateway.serve = setup.gateway.serve, None
         caller = await setup.connect()
-        status, _, _ = await caller.ask(path="/p/x", attempt="t1")
-        assert status == 502
+        status, headers, _ = await caller.ask(path="/p/x", attempt="t1")
+        assert status == 502 and headers["connection"] == "close"
+        assert await caller.reader.read() == b""
         setup.gateway.serve = serve
-        status, _, _ = await caller.ask(path="/p/x", attempt="t2")
+        status, _, _ = await setup.ask(path="/p/x", attempt="t2")
         assert status == 200
 
     run_scenario(scenario)
--- a/tests/test_upstream_client.py
+++ b/tests/test_upstream_client.py
@@ -212,3 +212,37 @@
         assert peak_bytes < 3 * DEFAULT_RECEIVE_LIMITS.total_bytes
 
     run_with_upstream(script, scenario)
+
+
+def test_line_break_in_an_id_is_refused():
+    """Guards against an id that adds a header field or a request of its own."""
+
+    async def scenario(transport, upstream):
+        order = make_order("c1\r\nX-Injected: 1")
+        reply = await transport.order(upstream.address, MAX_CONNECTIONS, order)
+        assert isinstance(reply, Failure) and reply.kind is ErrorKind.BAD_REQUEST
+        assert upstream.accepted == 0
+
+    run_with_upstream(endless_body, scenario)
+
+
+def test_connections_are_kept_for_parallel_calls():
+    """Guards against a new connection for most calls to an upstream that has several slots.
+
+    Replays ten rounds of four calls at the same time.
+    """
+
+    def script(request_id):
+        yield 0.01
+        yield format_response(request_id, b"{}")
+
+    async def scenario(transport, upstream):
+        for number in range(10):
+            calls = [make_order(f"c{number}-{part}") for part in range(4)]
+            await asyncio.gather(
+                *(transport.order(upstream.address, MAX_CONNECTIONS, call) for call in calls)
+            )
+        # The first round has no connection to reuse, nor an id that the upstream has repeated.
+        assert upstream.accepted <= 8
+
+    run_with_upstream(script, scenario)
