Lock the ports that test processes have found

The log of e3 says that its address was in use: features run side by side, and two had found the same free port before either listened on it. Ruled out: the load; the other two instances had started within a second. Change: find_port holds a lock file for each port until its process ends.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,7 +1,7 @@
 """Runs stand-ins and entry instances as processes on loopback, for scenarios."""
 
 import asyncio
-import contextlib
+import fcntl
 import json
 import os
 import random
@@ -14,7 +14,7 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TextIO
 
 import yaml
 
@@ -27,6 +27,8 @@
 START_TIMEOUT_S = 30.0
 # Below 32768, the first port of outgoing connections on Linux, and above the ports in extras.
 LISTEN_PORTS = (23_000, 32_000)
+# Open lock files of the ports that this process has found.
+PORT_CLAIMS: list[TextIO] = []
 
 
 class Reply(NamedTuple):
@@ -40,13 +42,23 @@
 def find_port() -> int:
     """Return a free port of 127.0.0.1 outside the range of outgoing connections.
 
-    An outgoing connection could take a port of that range before the program listens on it.
+    An outgoing connection could take a port of that range before the program listens on it. The
+    port is locked until this process ends, so that no other test process finds it meanwhile.
     """
+    folder = Path(tempfile.gettempdir()) / "citronpaddle-test-ports"
+    folder.mkdir(exist_ok=True)
     while True:
         port = random.randint(*LISTEN_PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
+        claim = (folder / str(port)).open("w")
+        try:
+            fcntl.flock(claim, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            claim.close()
+            continue
+        PORT_CLAIMS.append(claim)
+        return port
 
 
 def send(
