Log the known revision and the age of the state with denied requests

Cause: a 404 on a route that exists was logged with the configuration's version only. Change: request_denied has the store's revision that the instance knows and the age of its state; the revision is also a metric.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -337,6 +337,7 @@
         catalog = self.state.catalog
         gauges = {
             "configuration_version": catalog.version if catalog else 0,
+            "store_revision": self.state.revision,
             "state_age_seconds": (now_ms - self.state.confirmed_ms) / 1_000,
             "upstreams": len(self.state.registry),
             "instances": len(self.state.members.list_names()),
@@ -436,6 +437,9 @@
             status=answer.status,
             reason=reason,
             version=version,
+            # Below the store's revision, the instance is behind; at it, a change has been lost.
+            store_revision=self.state.revision,
+            state_age_ms=round(self._clock.now_ms() - self.state.confirmed_ms),
         )
 
     def _record_outcome(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import json
 import os
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 from cluster import find_port
@@ -91,17 +92,24 @@
             config_apply_ms=30.0,
         )
         clock = SystemClock()
+        self._log_reader, log_writer = os.pipe()
+        os.set_blocking(self._log_reader, False)
         self.gateway = Gateway(
             self.settings,
             clock,
             RandomSource(1),
-            EventLog("i0", clock, os.open(os.devnull, os.O_WRONLY)),
+            EventLog("i0", clock, log_writer),
             PlatformCodec(),
             PlatformCallerCodec(),
             HttpStateStore,
             PlatformStateDecoder(),
         )
 
+    def list_logged(self, event: str) -> list[dict[str, Any]]:
+        """Return the log lines of `event` written since the last call for any event."""
+        lines = os.read(self._log_reader, 1 << 20).decode().splitlines()
+        return [line for line in map(json.loads, lines) if line["event"] == event]
+
     async def connect(self) -> Caller:
         """Return a new connection of a caller."""
         return await Caller(self.settings.callers_address).connect()
@@ -454,6 +462,20 @@
     run_scenario(scenario)
 
 
+def test_denied_request_is_logged_with_the_state_that_decided_it():
+    """Guards against a 404 whose log does not tell an outdated instance from a lost change."""
+
+    async def scenario(setup):
+        assert (await setup.ask(path="/none/x", attempt="t9"))[0] == 404
+        (line,) = setup.list_logged("request_denied")
+        state = setup.gateway.state
+        assert (line["id"], line["version"]) == ("t9", state.catalog.version)
+        assert line["store_revision"] == state.revision
+        assert line["state_age_ms"] >= 0
+
+    run_scenario(scenario)
+
+
 def test_retry_time_grows_while_the_configuration_is_missing():
     """Guards against a retry time that is too short while the store is down at the start.
 
