Split the calls and the latencies from the state machine of a request

policy/exchange had 588 lines and three subjects: what a call and its result are, the late thresholds, and the state machine.

--- a/citronpaddle/calllog.py
+++ b/citronpaddle/calllog.py
@@ -4,7 +4,7 @@
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
 from .forwarding import CallObserver, RoutedRequest
-from .policy.exchange import Call, CallFailure
+from .policy.calls import Call, CallFailure
 
 
 class CallLog(CallObserver):
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -9,20 +9,19 @@
 from .adapters.connections import ConnectionPool, Dispatch
 from .adapters.httpclient import HttpFailure, HttpResponse, ResponseSink
 from .clock import Clock
-from .policy.catalog import Route
-from .policy.exchange import (
+from .policy.calls import (
     FIRST_CALL,
     Action,
     Call,
     CallFailure,
     Cancel,
-    Exchange,
-    ExchangeDependencies,
     FailureKind,
     Outcome,
     Reply,
     Send,
 )
+from .policy.catalog import Route
+from .policy.exchange import Exchange, ExchangeDependencies
 from .policy.registry import Upstream
 
 # After the answer, superseded calls may complete for this long, so that their connections can be
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -25,10 +25,12 @@
 from .fleet import SharedState, StateDecoder, StoreCallTimes, StoreFollower
 from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
 from .peering import Peering, join_address
+from .policy.calls import Answered, Outcome
 from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
-from .policy.exchange import Answered, ExchangeDependencies, Outcome, RouteLatencies
+from .policy.exchange import ExchangeDependencies
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
 from .policy.feed import Feed
+from .policy.latencies import RouteLatencies
 from .policy.members import Member, Members
 from .policy.registry import Registry
 from .policy.selection import Selector
--- a/citronpaddle/platform/codec.py
+++ b/citronpaddle/platform/codec.py
@@ -6,8 +6,8 @@
 from ..fleet import StateDecoder
 from ..forwarding import RoutedRequest
 from ..gateway import CallerCodec, CallerRequest
+from ..policy.calls import Outcome
 from ..policy.catalog import Catalog
-from ..policy.exchange import Outcome
 from ..policy.registry import Upstream
 from . import documents, headers
 
--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -6,7 +6,15 @@
 from ..adapters.httpclient import HttpResponse
 from ..adapters.httpserver import HttpAnswer, HttpRequest, list_end_to_end
 from ..forwarding import CallCodec, RoutedRequest
-from ..policy.exchange import Answered, CallFailure, Failed, FailureKind, Outcome, Refused, Reply
+from ..policy.calls import (
+    Answered,
+    CallFailure,
+    Failed,
+    FailureKind,
+    Outcome,
+    Refused,
+    Reply,
+)
 from ..policy.records import merge_records
 from ..policy.registry import Upstream
 
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -6,42 +6,43 @@
 
 import itertools
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import NamedTuple
 
+from .calls import (
+    FIRST_CALL,
+    NOT_RUN,
+    Action,
+    Answered,
+    Call,
+    CallFailure,
+    Cancel,
+    Failed,
+    FailureKind,
+    MissingPart,
+    Outcome,
+    Refused,
+    Reply,
+    Send,
+)
 from .catalog import Route
 from .extraload import ExtraLoad
-from .hedging import LatencyWindow
 from .hints import Hints
+from .latencies import RouteLatencies
 from .registry import Upstream
 from .selection import Selector
 
-# The reason of a part's first call; calls with any other reason are repeats.
-FIRST_CALL = "first"
 # Maximum calls per part, including rejected ones; more would add load to a failing upstream.
 MAX_CALLS = 5
 # Share of the objective reserved for merging the replies and for return delays, and its minimum.
 ANSWER_MARGIN_SHARE = 0.03
 ANSWER_MARGIN_MS = 5.0
-# Weight of a new observation in the moving average of answer overruns, and the maximum share of the
-# objective reserved for them: a larger reserve would leave no time for the upstreams.
-OVERRUN_WEIGHT = 0.1
+# Maximum share of the objective that is reserved for answer overruns: a larger reserve would leave
+# no time for the upstreams.
 MAX_OVERRUN_SHARE = 0.2
 # Multiple of the mean overrun that is reserved, up to that share.
 OVERRUN_FACTOR = 2.0
 # Time before the route's timeout or the caller's deadline that is reserved to send the answer.
 TIMEOUT_MARGIN_MS = 15.0
-# Share of the objective after which a call counts as late: the initial threshold until there are
-# enough samples, and the maximum threshold afterwards.
-INITIAL_LATE_SHARE = 0.35
-# Quantile of recent reply latencies that is the late threshold, the samples it needs, the window of
-# the samples, and the lower bound of the threshold.
-LATE_QUANTILE = 0.88
-MIN_SAMPLES = 30
-SAMPLE_WINDOW_MS = 10_000.0
-MIN_LATE_MS = 3.0
-# How long a computed late threshold is cached.
-LATE_THRESHOLD_CACHE_MS = 250.0
 # A call cancelled after this multiple of the late threshold counts as a slow one.
 CANCELLED_LATE_FACTOR = 2.0
 # Calls of a part without a delay between them, and the delay before the next one; it doubles with
@@ -61,92 +62,6 @@
 COVERAGE_TOLERANCE = 1e-9
 
 
-class FailureKind(StrEnum):
-    """Why a call failed."""
-
-    UNREACHABLE = "unreachable"
-    REJECTED = "rejected"
-    MISDIRECTED = "misdirected"
-    BROKEN = "broken"
-    GARBLED = "garbled"
-    TIMED_OUT = "timed_out"
-    ERROR = "error"
-
-
-# Failures that guarantee that the upstream has not run the call and never will.
-_NOT_RUN = frozenset({FailureKind.UNREACHABLE, FailureKind.REJECTED, FailureKind.MISDIRECTED})
-
-
-class Reply(NamedTuple):
-    """A complete reply; `signature` lets the caller verify which upstream sent it."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    signature: bytes
-
-
-class CallFailure(NamedTuple):
-    """A failed call; `reply` is the upstream's error response if it arrived completely."""
-
-    kind: FailureKind
-    reply: Reply | None = None
-
-
-@dataclass(slots=True)
-class Call:
-    """One call to an upstream; `is_sent` is set once its first byte may have been sent."""
-
-    id: int
-    part: int
-    upstream: Upstream
-    started_ms: float
-    reason: str
-    is_sent: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Action: start this call."""
-
-    call: Call
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """Action: cancel this call; its result is not needed."""
-
-    call: Call
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """The request is answered with the replies received; `missing` counts parts without one."""
-
-    replies: tuple[Reply, ...]
-    missing: int
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The request has not run and never will; the caller may retry after `retry_ms`."""
-
-    reason: str
-    retry_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """The request has no answer, and an upstream may have run it; `is_late` marks a timeout."""
-
-    reason: str
-    is_late: bool
-
-
-Outcome = Answered | Refused | Failed
-Action = Send | Cancel
-
-
 @dataclass(slots=True)
 class _Part:
     service: str
@@ -171,51 +86,6 @@
         return self.possibly_run_calls > 0 or any(call.is_sent for call in self.open_calls.values())
 
 
-class MissingPart(NamedTuple):
-    """A part without a reply: its service, the upstreams called, the last failure kind."""
-
-    service: str
-    tried: tuple[str, ...]
-    fault: str
-
-
-class RouteLatencies:
-    """Late thresholds by route, computed from recent reply latencies, and the mean overrun."""
-
-    def __init__(self) -> None:
-        self._windows: dict[str, LatencyWindow] = {}
-        # By route: when the cached late threshold expires, and the threshold, both in ms.
-        self._cached_thresholds: dict[str, tuple[float, float]] = {}
-        self.mean_overrun_ms = 0.0
-
-    def record_overrun(self, overrun_ms: float) -> None:
-        """Record by how many ms an answer was decided after its soft deadline."""
-        self.mean_overrun_ms += OVERRUN_WEIGHT * (overrun_ms - self.mean_overrun_ms)
-
-    def add(self, route: Route, now_ms: float, latency_ms: float) -> None:
-        """Record the latency of one reply in ms."""
-        window = self._windows.get(route.name)
-        if window is None:
-            window = self._windows[route.name] = LatencyWindow(SAMPLE_WINDOW_MS)
-        window.add(now_ms, latency_ms)
-
-    def find_late_threshold_ms(self, route: Route, now_ms: float) -> float:
-        """Return the age in ms from which a call of `route` counts as late."""
-        cached = self._cached_thresholds.get(route.name)
-        if cached is not None and now_ms < cached[0]:
-            return cached[1]
-        window = self._windows.get(route.name)
-        threshold_ms = None
-        if window is not None:
-            threshold_ms = window.compute_quantile(now_ms, LATE_QUANTILE, MIN_SAMPLES)
-        if threshold_ms is None:
-            threshold_ms = cached[1] if cached else INITIAL_LATE_SHARE * route.objective_ms
-        # A quantile above the initial threshold means that many upstreams are slow at once.
-        threshold_ms = max(MIN_LATE_MS, min(threshold_ms, INITIAL_LATE_SHARE * route.objective_ms))
-        self._cached_thresholds[route.name] = (now_ms + LATE_THRESHOLD_CACHE_MS, threshold_ms)
-        return threshold_ms
-
-
 class ExchangeDependencies(NamedTuple):
     """Objects shared by all exchanges; `hints` reports late calls to other instances."""
 
@@ -345,7 +215,7 @@
         actions: list[Action] = []
         if self.outcome is not None or part.is_done:
             return actions
-        if call.is_sent and kind not in _NOT_RUN:
+        if call.is_sent and kind not in NOT_RUN:
             part.possibly_run_calls += 1
         if failure.reply is not None and kind is FailureKind.ERROR:
             part.error_reply = failure.reply
--- a/tests/exchanges.py
+++ b/tests/exchanges.py
@@ -5,21 +5,20 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from citronpaddle.policy.catalog import Route, ServiceLimits, WeightedService
-from citronpaddle.policy.exchange import (
+from citronpaddle.policy.calls import (
     Call,
     CallFailure,
     Cancel,
-    Exchange,
-    ExchangeDependencies,
     FailureKind,
     Outcome,
     Reply,
-    RouteLatencies,
     Send,
 )
+from citronpaddle.policy.catalog import Route, ServiceLimits, WeightedService
+from citronpaddle.policy.exchange import Exchange, ExchangeDependencies
 from citronpaddle.policy.extraload import ExtraLoad, ExtraLoadLimits
 from citronpaddle.policy.hints import Hints
+from citronpaddle.policy.latencies import RouteLatencies
 from citronpaddle.policy.registry import Registry, Upstream
 from citronpaddle.policy.selection import Selector
 from citronpaddle.policy.slowstart import ColdLimits, SlowStart
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,16 +12,16 @@
     succeed,
 )
 
-from citronpaddle.policy.catalog import ServiceLimits
-from citronpaddle.policy.exchange import (
+from citronpaddle.policy.calls import (
     Answered,
     CallFailure,
-    Exchange,
     Failed,
     FailureKind,
     Refused,
     Send,
 )
+from citronpaddle.policy.catalog import ServiceLimits
+from citronpaddle.policy.exchange import Exchange
 from citronpaddle.policy.extraload import ExtraLoadLimits
 
 PAIR = [make_upstream("a0"), make_upstream("b0")]
