Read and log the rate limit that an upstream names

Nothing read the header. Change: the limit of each upstream is decoded, kept and logged when it changes or ends; a gauge counts the limited upstreams. An answer without the header ends a limit, unless its call is older than the last answer that named it. Unreadable values, misdirected and spoiled answers change nothing. No decision uses it yet. The new test reads the log of six answers.

--- a/citronpaddle/adapters/eventlog.py
+++ b/citronpaddle/adapters/eventlog.py
@@ -38,6 +38,7 @@
     UPSTREAM_LISTED = "upstream_listed"
     UPSTREAM_GONE = "upstream_gone"
     UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_LIMITED = "upstream_limited"
     DOMAINS_OUT = "domains_out"
     INSTANCES_CHANGED = "instances_changed"
     REQUEST_ENDED = "request_ended"
--- a/citronpaddle/calllog.py
+++ b/citronpaddle/calllog.py
@@ -5,6 +5,7 @@
 from .clock import Clock
 from .forwarding import CallObserver, RoutedRequest
 from .policy.calls import Call, CallFailure
+from .policy.ratelimit import UnknownLimit
 
 
 class CallLog(CallObserver):
@@ -41,3 +42,12 @@
             was_sent=call.is_sent,
             after_ms=round(self._clock.now_ms() - call.started_ms, 1),
         )
+
+    def record_limit(self, call: Call, limit_per_s: float | UnknownLimit | None) -> None:
+        self._log.write(
+            Event.UPSTREAM_LIMITED,
+            "forwarding",
+            service=call.upstream.service,
+            upstream=call.upstream.id,
+            limit_per_s=limit_per_s,
+        )
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -22,6 +22,7 @@
 )
 from .policy.catalog import Route
 from .policy.exchange import Exchange, ExchangeDependencies
+from .policy.ratelimit import UnknownLimit
 from .policy.registry import Upstream
 
 # After the answer, superseded calls may complete for this long, so that their connections can be
@@ -33,6 +34,9 @@
 MAX_IDEMPOTENT_IDLE_MS = 3_600_000.0
 # The reasons of failures caused by bytes that are no acceptable response.
 MALFORMED_RESPONSE_REASONS = frozenset({"garbled", "oversized"})
+# Failures with a response that does not tell the state of the called upstream: it is from another
+# one, or spoiled.
+UNTRUSTED_ANSWERS = frozenset({FailureKind.MISDIRECTED, FailureKind.GARBLED})
 
 
 class CallCodec(ABC):
@@ -52,6 +56,10 @@
     ) -> Reply | CallFailure:
         """Return the decoded response or the failure; a part of a query has stricter rules."""
 
+    @abstractmethod
+    def read_limit(self, response: HttpResponse) -> float | UnknownLimit | None:
+        """Return the rate in requests per second to which the upstream limits all instances."""
+
 
 class RoutedRequest(NamedTuple):
     """A caller's request with its route; `content` is its form for the codec.
@@ -81,6 +89,10 @@
     def record_failed_call(self, request: RoutedRequest, call: Call, failure: CallFailure) -> None:
         """Record a call without a usable answer."""
 
+    @abstractmethod
+    def record_limit(self, call: Call, limit_per_s: float | UnknownLimit | None) -> None:
+        """Record that the upstream of a call names another rate limit than before, or none."""
+
 
 class ExchangeRunner:
     """Runs one exchange: sends and cancels its calls, and delivers its outcome once."""
@@ -158,6 +170,8 @@
         is_part = bool(self.request.route.shards)
         result = self._forwarder.codec.decode_response(self.request.content, response, is_part)
         now_ms = self._clock.now_ms()
+        if isinstance(result, Reply) or result.kind not in UNTRUSTED_ANSWERS:
+            self._record_limit(call, response, now_ms)
         if isinstance(result, Reply):
             self.exchange.handle_reply(call, result, now_ms)
             if self.exchange.outcome is not None:
@@ -165,6 +179,13 @@
         else:
             self._handle_call_failure(call, result, now_ms)
 
+    def _record_limit(self, call: Call, response: HttpResponse, now_ms: float) -> None:
+        forwarder = self._forwarder
+        limit_per_s = forwarder.codec.read_limit(response)
+        selector = forwarder.dependencies.selector
+        if selector.record_limit(call.upstream.id, limit_per_s, call.started_ms, now_ms):
+            forwarder.observer.record_limit(call, limit_per_s)
+
     def _handle_http_failure(self, call: Call, failure: HttpFailure) -> None:
         self._dispatches.pop(call.id, None)
         if not failure.is_sent:
--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the platform's HTTP headers, requests, calls and answers."""
 
+import re
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
@@ -15,6 +16,7 @@
     Refused,
     Reply,
 )
+from ..policy.ratelimit import UnknownLimit
 from ..policy.records import merge_records
 from ..policy.registry import Upstream
 
@@ -30,6 +32,8 @@
 PART_SIGNATURES = b"Citronpaddle-Part-Stamps"
 # The number of shards that are missing in the answer.
 MISSING_PARTS = b"Citronpaddle-Missing-Parts"
+# The rate in requests per second that an overloaded upstream takes from all instances together.
+RATE_LIMIT = b"Server-Limit"
 # Set by an upstream that has not run the request and never will.
 NOT_EXECUTED = b"citronpaddle-not-executed"
 
@@ -37,6 +41,8 @@
 _ATTEMPT_KEY = ATTEMPT_ID.lower()
 _DEADLINE_KEY = DEADLINE.lower()
 _REPLACED_HEADERS = frozenset({_DEADLINE_KEY, EXPECTED_UPSTREAM.lower()})
+_RATE_LIMIT_KEY = RATE_LIMIT.lower()
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _MAX_DEADLINE_MS = 86_400_000
 # Statuses that tell a caller that its request has not run. An upstream guarantees this only with
 # the header NOT_EXECUTED; without it they are not passed on to the caller.
@@ -149,6 +155,13 @@
             return reply
         return CallFailure(FailureKind.ERROR, reply)
 
+    def read_limit(self, response: HttpResponse) -> float | UnknownLimit | None:
+        for name, value in response.headers:
+            if name.lower() == _RATE_LIMIT_KEY:
+                text = value.strip()
+                return float(text) if _DECIMAL.fullmatch(text) else UnknownLimit()
+        return None
+
 
 def _read_markers(response: HttpResponse) -> tuple[bytes, bool, bool]:
     """Return the signature, whether the call was rejected, and whether the body is encoded."""
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from .catalog import ServiceLimits
+from .ratelimit import RateLimits, UnknownLimit
 from .registry import Registry, Upstream
 from .slowstart import SlowStart
 
@@ -105,14 +106,16 @@
         self._stats: dict[str, UpstreamStats] = {}
         self._baseline_ms: dict[str, float] = {}
         self._connection_share = 1.0
+        self._rate_limits = RateLimits(draw)
         self._call_count = 0
 
     def set_share(self, share: float, is_recently_started: bool) -> None:
-        """Set the share (0 to 1) of every upstream's connections that this instance may use.
+        """Set the share (0 to 1) of every upstream's connections and rate that this instance uses.
 
-        It is halved while this instance `is_recently_started`: upstreams may still hold connections
-        of its predecessor.
+        That of the connections is halved while this instance `is_recently_started`: upstreams may
+        still hold connections of its predecessor.
         """
+        self._rate_limits.set_share(share)
         self._connection_share = share / 2 if is_recently_started else share
 
     def is_listed(self, service: str) -> bool:
@@ -237,6 +240,25 @@
         if limits is not None and limits.cold_rate_per_s > 0:
             self._registry.mark_upstream_cold(upstream_id, now_ms + limits.cold_ms)
 
+    def record_limit(
+        self,
+        upstream_id: str,
+        limit_per_s: float | UnknownLimit | None,
+        called_ms: float,
+        now_ms: float,
+    ) -> bool:
+        """Apply the rate limit that an answer of the upstream names; return whether it changed.
+
+        `called_ms` is when the answered call was started.
+        """
+        if self._registry.get(upstream_id) is None:
+            return False
+        return self._rate_limits.record_answer(upstream_id, limit_per_s, called_ms, now_ms)
+
+    def count_limited(self) -> int:
+        """Return the number of upstreams that name a rate limit."""
+        return len(self._rate_limits)
+
     def record_misdirected(self, upstream: Upstream, now_ms: float) -> None:
         """Exclude an upstream for a while whose address belongs to another one."""
         self._registry.record_misdirected(upstream, now_ms)
@@ -279,6 +301,7 @@
         """Remove the statistics of an upstream that is no longer listed."""
         self._stats.pop(upstream_id, None)
         self._slow_start.remove_upstream(upstream_id)
+        self._rate_limits.remove_upstream(upstream_id)
 
     def _get_or_create_stats(self, upstream_id: str, now_ms: float) -> UpstreamStats:
         stats = self._stats.get(upstream_id)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -332,6 +332,36 @@
     run_scenario(scenario)
 
 
+def test_limit_that_an_upstream_names_is_logged_until_it_ends():
+    """Guards against a limit that operators cannot see, and one that outlives its upstream's need.
+
+    Values that are no decimal number change nothing.
+    """
+
+    async def scenario(setup):
+        platform = setup.platform
+        platform.upstreams["b"].refuses_connections = True
+        values = ["14.7", "14.7", "nan", "-3", "1e9", None]
+
+        def answer(request, connection):
+            upstream = platform.upstreams["a"]
+            value = values.pop(0)
+            limit = {} if value is None else {"Server-Limit": value}
+            connection.reply(200, upstream.make_headers(request) | limit, upstream.body)
+            return True
+
+        platform.upstreams["a"].answer = answer
+        while values:
+            await setup.ask(path="/p/x", deadline=20_000)
+        lines = setup.list_logged("upstream_limited")
+        assert [(line["upstream"], line["limit_per_s"]) for line in lines] == [
+            ("a", 14.7),
+            ("a", None),
+        ]
+
+    run_scenario(scenario)
+
+
 def test_redirection_is_passed_on():
     """Guards against a retry after a redirection, which is neither a success nor a failure."""
 
