--- a/citronpaddle/policy/ratelimit.py
+++ b/citronpaddle/policy/ratelimit.py
@@ -9,7 +9,7 @@
 MS_PER_SECOND = 1_000.0
 # Only an answer shows that a limit has ended, so every instance may send at least this often,
 # however small its share is.
-MAX_INTERVAL_MS = 30_000.0
+MAX_INTERVAL_MS = 60_000.0
 
 
 @dataclass(frozen=True, slots=True)
