Share the limits that upstreams name between instances

Cause: only an answer shows that a limit has ended. An instance with a ninth of a limit of 1/s has a slot every 9 s, and counted the upstream as limited until then. Ruled out: the refusals themselves; they went out at once and were true to what the instance knew. Change: instances report to each other when a limit begins, changes by more than a tenth, or ends, in the datagrams for hints, also where hints on late calls are off. Reports beyond a datagram follow in the next. A peer's report is logged.

--- a/citronpaddle/calllog.py
+++ b/citronpaddle/calllog.py
@@ -5,7 +5,6 @@
 from .clock import Clock
 from .forwarding import CallObserver, RoutedRequest
 from .policy.calls import Call, CallFailure
-from .policy.ratelimit import UnknownLimit
 
 
 class CallLog(CallObserver):
@@ -43,7 +42,7 @@
             after_ms=round(self._clock.now_ms() - call.started_ms, 1),
         )
 
-    def record_limit(self, call: Call, limit_per_s: float | UnknownLimit | None) -> None:
+    def record_limit(self, call: Call, limit_per_s: float | None) -> None:
         self._log.write(
             Event.UPSTREAM_LIMITED,
             "forwarding",
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -19,10 +19,10 @@
     Outcome,
     Reply,
     Send,
+    UnknownLimit,
 )
 from .policy.catalog import Route
 from .policy.exchange import Exchange, ExchangeDependencies
-from .policy.ratelimit import UnknownLimit
 from .policy.registry import Upstream
 
 # After the answer, superseded calls may complete for this long, so that their connections can be
@@ -90,7 +90,7 @@
         """Record a call without a usable answer."""
 
     @abstractmethod
-    def record_limit(self, call: Call, limit_per_s: float | UnknownLimit | None) -> None:
+    def record_limit(self, call: Call, limit_per_s: float | None) -> None:
         """Record that the upstream of a call names another rate limit than before, or none."""
 
 
@@ -180,11 +180,13 @@
             self._handle_call_failure(call, result, now_ms)
 
     def _record_limit(self, call: Call, response: HttpResponse, now_ms: float) -> None:
-        forwarder = self._forwarder
-        limit_per_s = forwarder.codec.read_limit(response)
-        selector = forwarder.dependencies.selector
+        limit_per_s = self._forwarder.codec.read_limit(response)
+        if isinstance(limit_per_s, UnknownLimit):
+            return
+        selector = self._forwarder.dependencies.selector
         if selector.record_limit(call.upstream.id, limit_per_s, call.started_ms, now_ms):
-            forwarder.observer.record_limit(call, limit_per_s)
+            self._forwarder.dependencies.hints.record_limit(call.upstream.id, limit_per_s)
+            self._forwarder.observer.record_limit(call, limit_per_s)
 
     def _handle_http_failure(self, call: Call, failure: HttpFailure) -> None:
         self._dispatches.pop(call.id, None)
--- a/citronpaddle/hints.thrift
+++ b/citronpaddle/hints.thrift
@@ -6,6 +6,10 @@
   LATE = 0,
   /** A late call was answered, after `value` times the baseline latency. */
   ANSWERED = 1,
+  /** The upstream names a rate limit, which is `value` requests a second for all instances. */
+  LIMITED = 2,
+  /** The upstream no longer names a rate limit. */
+  UNLIMITED = 3,
 }
 
 struct Hint {
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -11,7 +11,7 @@
 from .policy.active import REPORT_INTERVAL_MS, SMALL_DOMAIN, ActiveSet
 from .policy.extraload import ExtraLoad
 from .policy.feed import WATCHER_COUNT, Feed, FeedBatch, split_changes
-from .policy.hints import BATCHING_DELAY_MS, Hints
+from .policy.hints import BATCHING_DELAY_MS, Hint, HintKind, Hints
 from .policy.members import Member
 from .policy.selection import Selector
 from .policy.slowstart import SlowStart
@@ -145,10 +145,21 @@
     def _handle_message(self, message: PeerMessage) -> None:
         now_ms = self._clock.now_ms()
         self._active.record_loop_lag(message.sender, message.loop_lag_ms, now_ms)
-        self.hints.apply(message.hints, now_ms)
+        for hint in self.hints.apply(message.hints, now_ms):
+            self._log_peer_limit(message.sender, hint)
         if message.feed is not None:
             self._on_feed(message.sender, message.feed)
 
+    def _log_peer_limit(self, sender: str, hint: Hint) -> None:
+        is_limited = hint.kind is HintKind.LIMITED
+        self._log.write(
+            Event.UPSTREAM_LIMITED,
+            "peering",
+            upstream=hint.upstream,
+            limit_per_s=hint.value if is_limited else None,
+            reported_by=sender,
+        )
+
     def _log_refused_message(self, reason: str) -> None:
         self._log.write(Event.HINTS_REFUSED, "peering", reason=reason)
 
--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -15,8 +15,8 @@
     Outcome,
     Refused,
     Reply,
+    UnknownLimit,
 )
-from ..policy.ratelimit import UnknownLimit
 from ..policy.records import merge_records
 from ..policy.registry import Upstream
 
--- a/citronpaddle/policy/calls.py
+++ b/citronpaddle/policy/calls.py
@@ -42,6 +42,11 @@
     reply: Reply | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownLimit:
+    """An answer names a limit that cannot be decoded; the limit known before stays in force."""
+
+
 @dataclass(slots=True)
 class Call:
     """One call to an upstream; `is_sent` is set once its first byte may have been sent."""
--- a/citronpaddle/policy/hints.py
+++ b/citronpaddle/policy/hints.py
@@ -1,12 +1,15 @@
-"""Hints: reports of slow upstreams that instances send to each other.
+"""Hints: reports of slow or rate-limited upstreams that instances send to each other.
 
 The first call that a paused upstream delays reveals the pause; a hint lets the other instances send
 their calls elsewhere within milliseconds. Hints are short-lived: a lost or late one does no harm,
-and a false one only raises the cost of an upstream for a moment. Times are in ms.
+and a false one only raises the cost of an upstream for a moment. A rate limit that begins or ends
+is reported too: an instance with a small share of it would learn of its end seconds later. Times
+are in ms.
 """
 
 from collections.abc import Callable, Iterable
 from enum import IntEnum
+from math import inf
 from typing import NamedTuple
 
 from .selection import Selector
@@ -23,14 +26,19 @@
 
 
 class HintKind(IntEnum):
-    """What a hint reports: a call that is late, or the reply to one."""
+    """What a hint reports: a late call, the reply to one, or a rate limit that begins or ends."""
 
     LATE = 0
     ANSWERED = 1
+    LIMITED = 2
+    UNLIMITED = 3
 
 
 class Hint(NamedTuple):
-    """One observation; `value` is an age in ms, or a latency as a multiple of the baseline."""
+    """One observation.
+
+    `value` is an age in ms, a latency as a multiple of the baseline, or a limit in requests/s.
+    """
 
     kind: HintKind
     upstream: str
@@ -41,34 +49,62 @@
     """Batches this instance's hints and applies those of others."""
 
     def __init__(self, selector: Selector, schedule: Callable[[], None]) -> None:
-        """Set `schedule`, which is called when the first hint of a batch is added."""
+        """Set `schedule`, which is called when there is a batch to be sent."""
+        # Whether late calls and their replies are reported.
         self.is_enabled = False
         self._selector = selector
         self._schedule = schedule
         self._pending: dict[str, Hint] = {}
+        self._pending_limits: dict[str, Hint] = {}
 
     def record_late(self, upstream: str, age_ms: float, now_ms: float) -> None:
         """Add a hint that a call to `upstream` is late, unless a peer has just reported one."""
-        if not self._selector.is_reported_late(upstream, now_ms):
-            self._add(Hint(HintKind.LATE, upstream, age_ms))
+        if self.is_enabled and not self._selector.is_reported_late(upstream, now_ms):
+            self._add(self._pending, Hint(HintKind.LATE, upstream, age_ms))
 
     def record_answered(self, upstream: str, slowness: float) -> None:
         """Add a hint that a late call has a reply, if that was slow enough to be useful."""
-        if slowness >= MIN_REPORTED_SLOWNESS:
-            self._add(Hint(HintKind.ANSWERED, upstream, slowness))
+        if self.is_enabled and slowness >= MIN_REPORTED_SLOWNESS:
+            self._add(self._pending, Hint(HintKind.ANSWERED, upstream, slowness))
+
+    def record_limit(self, upstream: str, limit_per_s: float | None) -> None:
+        """Add a hint that `upstream` names another rate limit than before, or none."""
+        if limit_per_s is None:
+            hint = Hint(HintKind.UNLIMITED, upstream, 0.0)
+        else:
+            hint = Hint(HintKind.LIMITED, upstream, limit_per_s)
+        self._add(self._pending_limits, hint)
 
     def pop_pending(self) -> list[Hint]:
-        """Return up to `MAX_HINTS` hints, the newest of each upstream, and clear the batch."""
-        pending, self._pending = self._pending, {}
-        return list(pending.values())[:MAX_HINTS]
+        """Return up to `MAX_HINTS` hints, the newest of each upstream, limits first.
+
+        The limits beyond that stay for the next batch; other hints would be outdated by then.
+        """
+        limits = list(self._pending_limits.values())[:MAX_HINTS]
+        others, self._pending = self._pending, {}
+        for hint in limits:
+            del self._pending_limits[hint.upstream]
+        if self._pending_limits:
+            self._schedule()
+        return [*limits, *others.values()][:MAX_HINTS]
 
-    def apply(self, hints: Iterable[Hint], now_ms: float) -> None:
-        """Apply the hints of another instance."""
+    def apply(self, hints: Iterable[Hint], now_ms: float) -> list[Hint]:
+        """Apply the hints of another instance; return those that changed a limit."""
+        changed: list[Hint] = []
         for hint in hints:
             if hint.kind is HintKind.LATE:
                 self._selector.record_peer_late(hint.upstream, now_ms)
-            else:
+            elif hint.kind is HintKind.ANSWERED:
                 self._selector.record_peer_reply(hint.upstream, hint.value, now_ms)
+            elif self._apply_limit(hint, now_ms):
+                changed.append(hint)
+        return changed
+
+    def _apply_limit(self, hint: Hint, now_ms: float) -> bool:
+        limit_per_s = hint.value if hint.kind is HintKind.LIMITED else None
+        if limit_per_s is not None and not 0.0 <= limit_per_s < inf:
+            return False
+        return self._selector.record_limit(hint.upstream, limit_per_s, now_ms, now_ms)
 
     def update_enabled(self, calls: int, upstreams: int, period_ms: float) -> None:
         """Enable hints only while calls to each upstream are too rare to detect slow ones.
@@ -80,9 +116,7 @@
                 MS_PER_SECOND * calls / upstreams / period_ms < SELF_SUFFICIENT_RATE_PER_S
             )
 
-    def _add(self, hint: Hint) -> None:
-        if not self.is_enabled:
-            return
-        if not self._pending:
+    def _add(self, pending: dict[str, Hint], hint: Hint) -> None:
+        if not self._pending and not self._pending_limits:
             self._schedule()
-        self._pending[hint.upstream] = hint
+        pending[hint.upstream] = hint
--- a/citronpaddle/policy/ratelimit.py
+++ b/citronpaddle/policy/ratelimit.py
@@ -10,11 +10,9 @@
 # Only an answer shows that a limit has ended, so all instances together send at least at this rate,
 # however low the limit is.
 MIN_RATE_PER_S = 0.1
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownLimit:
-    """An answer names a limit that cannot be decoded; the limit known before stays in force."""
+# Share of a limit by which it must change to be logged and reported to other instances: an upstream
+# may name another value in every answer.
+MIN_REPORTED_CHANGE = 0.1
 
 
 @dataclass(slots=True)
@@ -53,18 +51,16 @@
     def record_answer(
         self,
         upstream_id: str,
-        limit_per_s: float | UnknownLimit | None,
+        limit_per_s: float | None,
         called_ms: float,
         now_ms: float,
     ) -> bool:
-        """Apply the limit that an answer names, or None; return whether the limit has changed.
+        """Apply the limit that an answer names, or None; return whether it changed noticeably.
 
         An answer without a limit ends it, unless its call was sent before the limit was last named:
         answers of concurrent calls arrive in any order.
         """
         known = self._limits.get(upstream_id)
-        if isinstance(limit_per_s, UnknownLimit):
-            return False
         if limit_per_s is None:
             if known is None or called_ms < known.named_ms:
                 return False
@@ -75,12 +71,12 @@
             self._limits[upstream_id] = _Limit(limit_per_s, now_ms, first_ms)
             return True
         known.named_ms = now_ms
-        if known.rate_per_s == limit_per_s:
-            return False
         ratio = self._compute_interval_ms(limit_per_s) / self._compute_interval_ms(known.rate_per_s)
         known.next_ms = now_ms + max(0.0, known.next_ms - now_ms) * ratio
+        change_per_s = abs(limit_per_s - known.rate_per_s)
+        is_reported = change_per_s > MIN_REPORTED_CHANGE * known.rate_per_s
         known.rate_per_s = limit_per_s
-        return True
+        return is_reported
 
     def find_slot_ms(self, upstream_id: str, now_ms: float) -> float:
         """Return when the next request may be sent; it is `now_ms` for an unlimited upstream."""
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from .catalog import ServiceLimits
-from .ratelimit import RateLimits, UnknownLimit
+from .ratelimit import RateLimits
 from .registry import Registry, Upstream
 from .slowstart import SlowStart
 
@@ -308,7 +308,7 @@
     def record_limit(
         self,
         upstream_id: str,
-        limit_per_s: float | UnknownLimit | None,
+        limit_per_s: float | None,
         called_ms: float,
         now_ms: float,
     ) -> bool:
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -1,5 +1,7 @@
 """Hints between instances about upstreams, and the selection of the instances in use."""
 
+import math
+
 from exchanges import ExchangeSimulation, make_single_route, make_upstream, succeed
 from hypothesis import given
 from hypothesis import strategies as st
@@ -7,7 +9,7 @@
 from citronpaddle.adapters.hintchannel import PeerMessage, decode, encode
 from citronpaddle.policy.active import REPORT_TIMEOUT_MS, SMALL_DOMAIN, STABLE_PERIOD_MS, ActiveSet
 from citronpaddle.policy.feed import FeedBatch
-from citronpaddle.policy.hints import Hint, HintKind, Hints
+from citronpaddle.policy.hints import MAX_HINTS, Hint, HintKind, Hints
 from citronpaddle.policy.members import Member
 from citronpaddle.statestore import StoreItem
 
@@ -68,6 +70,39 @@
     ]
 
 
+def test_limits_are_shared_when_hints_on_late_calls_are_not():
+    """Guards against requests that are refused after the need of an upstream has ended.
+
+    On a site of nine instances, an instance with a ninth of a limit of 1/s has a slot every 9 s,
+    and learned only then that the limit had ended.
+    """
+    simulation = ExchangeSimulation(PAIR, lambda call, now_ms: succeed())
+    scheduled = []
+    hints = Hints(simulation.selector, lambda: scheduled.append(1))
+    for number in range(MAX_HINTS + 1):
+        hints.record_limit(f"u{number}", 1.0)
+    assert scheduled == [1]
+    batch = hints.pop_pending()
+    assert len(batch) == MAX_HINTS and scheduled == [1, 1]
+    assert hints.pop_pending() == [Hint(HintKind.LIMITED, f"u{MAX_HINTS}", 1.0)]
+    hints.record_limit("u0", None)
+    assert hints.pop_pending() == [Hint(HintKind.UNLIMITED, "u0", 0.0)]
+
+
+def test_limit_reported_by_another_instance_is_applied():
+    """Guards against unreadable limits of other instances, and against ignored ones."""
+    simulation = ExchangeSimulation(PAIR, lambda call, now_ms: succeed())
+    limited = Hint(HintKind.LIMITED, "a0", 1.0)
+    unlimited = Hint(HintKind.UNLIMITED, "a0", 0.0)
+    invalid = [Hint(HintKind.LIMITED, "a0", value) for value in (-1.0, math.inf, math.nan)]
+    unknown = Hint(HintKind.LIMITED, "not listed", 1.0)
+    assert simulation.hints.apply([*invalid, unknown], 0.0) == []
+    assert simulation.hints.apply([limited, limited], 0.0) == [limited]
+    assert simulation.selector.list_limited_ids("s0") == ["a0"]
+    assert simulation.hints.apply([unlimited, unlimited], 1.0) == [unlimited]
+    assert simulation.selector.list_limited_ids("s0") == []
+
+
 def test_messages_survive_encoding_and_decoding():
     """Guards against a codec that drops hints or changes."""
     hints = (Hint(HintKind.LATE, "a0", 40.5), Hint(HintKind.ANSWERED, "b0", 6.0))
