Find an unanswered watch before an instance must have recovered

What callers saw: after the store had not answered an instance for half a second, it could refuse requests as an older version says for up to 8 s; allowed are 4 s until it is in touch again, and 3 s for a version. Cause: a watch, or its answer, that was lost is found by a check every 4 s, which allowed another 1.9 s, and gave up its own turn when the check itself was lost. No other call failed, so that the return of the store was not noticed either. Ruled out: dead connections (keep-alive probes end them within 3 s); slow answers (the check takes the same way). Change: a check every 1.5 s with 1 s of tolerance, only for a watch that was pending when the check was sent. After an unanswered check the next follows at once, and its answer makes the pending watch suspect. A check costs a tenth of a call: 0.4 calls/s more for nine instances.

--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -60,10 +60,12 @@
     # The share of a lease's time after which it is renewed, so that one renewal may fail.
     renew_share: float = 0.4
     # Interval of the comparison of the store's revision with the one that the watch has reached,
-    # and how long beyond its interval the watch may take to reach it. A read that may be stale
-    # costs a tenth of a call.
-    check_ms: float = 4_000.0
+    # and how much longer than the check a watch may take to reach it: together they are less than
+    # the shortest time within which an instance must have recovered, 4 s. A check costs a tenth of
+    # a call. One that was not answered is followed by the next after a shorter time.
+    check_ms: float = 1_500.0
     check_tolerance_ms: float = 1_000.0
+    check_retry_ms: float = 300.0
     # Interval at which an instance that receives the change feed checks that it is still fed.
     feed_check_ms: float = 250.0
     # How long a pending watch may take to return changes that other instances have already. A slow
@@ -152,7 +154,8 @@
         self._has_gap = asyncio.Event()
         # During a full read, the revisions at which keys were removed by relayed changes.
         self._removed_while_reading: dict[str, int] | None = None
-        # Set when the watch in progress may never be answered.
+        self._pending_watch: asyncio.Future | None = None
+        # Set when the pending watch may never be answered.
         self._is_watch_suspect = asyncio.Event()
         self._lease: Lease | None = None
         self._is_leaving = False
@@ -287,6 +290,7 @@
         is_watcher = self._feed.is_watcher
         wait_ms = self._times.watcher_wait_ms if is_watcher else self._times.watch_wait_ms
         watch = asyncio.ensure_future(self._store.watch("", after, wait_ms))
+        self._pending_watch = watch
         doubts = [
             asyncio.ensure_future(self._is_watch_suspect.wait()),
             asyncio.ensure_future(self._wait_for_overdue_gap()),
@@ -303,6 +307,7 @@
                     break
             return watch.result() if watch.done() else WatchAbandoned()
         finally:
+            self._pending_watch = None
             watch.cancel()
             for doubt in doubts:
                 doubt.cancel()
@@ -315,29 +320,44 @@
 
     async def _check_watch(self) -> None:
         """Compare the store's revision with the watch's periodically, to detect a stuck watch."""
+        was_unanswered = False
         while True:
-            await asyncio.sleep(self._times.check_ms / 1_000)
+            pause_ms = self._times.check_retry_ms if was_unanswered else self._times.check_ms
+            await asyncio.sleep(pause_ms / 1_000)
             if self._feed.has_live_watcher(self._clock.now_ms()):
                 # The watchers advertise their revision and check it themselves.
+                was_unanswered = False
                 continue
+            watch = self._pending_watch
             revision = await self._store.read_revision()
             if isinstance(revision, StoreFailure):
-                continue
-            before = self._state.revision
-            delay_ms = self._times.watch_interval_ms + self._times.check_tolerance_ms
-            await asyncio.sleep(delay_ms / 1_000)
-            # A watch that delivers changes is not stuck, however far behind it is.
-            is_unchanged = self._state.revision == before
-            if before < revision and is_unchanged and self._store_lost_since_ms is None:
-                self._log.write(
-                    Event.WATCH_SILENT,
-                    "fleet",
-                    known=self._state.revision,
-                    store=revision,
-                    reason="revision",
-                )
-                self._is_watch_suspect.set()
-                self._has_gap.set()
+                was_unanswered = True
+            elif was_unanswered:
+                # What was lost with the check may have been the answer of the watch, too.
+                was_unanswered = False
+                self._suspect_watch("unanswered check", revision)
+            elif watch is not None and revision > self._state.revision:
+                await self._expect_progress(watch, revision)
+
+    async def _expect_progress(self, watch: asyncio.Future, revision: int) -> None:
+        """Suspect a pending watch that does not return the changes up to `revision`."""
+        before = self._state.revision
+        await asyncio.sleep(self._times.check_tolerance_ms / 1_000)
+        # A watch that delivers changes is not stuck, however far behind it is.
+        if watch is self._pending_watch and self._state.revision == before:
+            self._suspect_watch("revision", revision)
+
+    def _suspect_watch(self, reason: str, revision: int) -> None:
+        if self._pending_watch is None:
+            return
+        self._log.write(
+            Event.WATCH_SILENT,
+            "fleet",
+            known=self._state.revision,
+            store=revision,
+            reason=reason,
+        )
+        self._is_watch_suspect.set()
 
     async def _pause(self, failure: StoreFailure, retry_ms: float) -> float:
         """Wait before the next call; return the pause in ms after a further failure."""
--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -183,15 +183,16 @@
         return runner.run(play(seed, site))
 
 
-# Of seeds 0 to 159, the first five showed single instances with an old version when batches claimed
-# changes that they did not contain and unanswered watches were kept.
-@pytest.mark.parametrize("seed", [57, 83, 115, 143, 152, 0, 1, 2])
+# The first five showed single instances with an old version when batches claimed changes that they
+# did not contain, 330 when an unanswered watch was found too late.
+@pytest.mark.parametrize("seed", [57, 83, 115, 143, 152, 330, 0, 1])
 def test_version_is_in_force_in_time_at_every_instance_in_touch(seed):
     """Guards against an instance that misses a confirmed configuration while others have faults."""
     assert run_seed(seed) == []
 
 
-@pytest.mark.parametrize("seed", range(4))
+# The first four showed an unanswered watch that was found too late.
+@pytest.mark.parametrize("seed", [16, 64, 67, 89, 0, 1])
 def test_version_is_in_force_in_time_without_a_feed(seed):
     """Guards against an old configuration in a small failure domain, with stricter bounds."""
     assert run_seed(seed, SMALL) == []
