--- /dev/null
+++ b/citronpaddle/availability.py
@@ -0,0 +1,100 @@
+"""Whether the platform's store answers this instance, and the pauses between its retries."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from .adapters.eventlog import Event, EventLog
+from .clock import Clock
+from .sharedstate import SharedState
+from .statestore import StoreFailure
+
+# Share of random jitter in the pauses after a failure, so that instances don't retry in step.
+RETRY_JITTER = 0.5
+
+
+class StoreCallTimes(NamedTuple):
+    """Intervals and timeouts of the calls to the store, in ms."""
+
+    # How long one watch call may wait for changes; the store's limit is 30 s.
+    watch_wait_ms: int = 25_000
+    # The same for an instance that relays changes to others: an unanswered watch must be detected
+    # well within the strictest time limit for a configuration.
+    watcher_wait_ms: int = 1_300
+    # Minimum interval of watch calls. Every call has a cost, so changes in quick succession share
+    # one. The strictest time limit for a configuration, 3 s on the smallest sites, leaves room for
+    # this delay.
+    watch_interval_ms: float = 900.0
+    watcher_interval_ms: float = 700.0
+    first_retry_ms: float = 150.0
+    max_retry_ms: float = 1_000.0
+    # Without a configuration an instance can't serve callers, so it retries sooner, unless the
+    # store refuses calls because of their rate.
+    max_unready_retry_ms: float = 400.0
+    # A crashed instance is removed after this time at most, and a renewal costs little.
+    lease_ms: float = 4_000.0
+    # The share of a lease's time after which it is renewed, so that one renewal may fail.
+    renew_share: float = 0.4
+    # Interval of the comparison of the store's revision with the one that the watch has reached,
+    # and how much longer than the check a watch may take to reach it: together they are less than
+    # the shortest time within which an instance must have recovered, 4 s. A check costs a tenth of
+    # a call. One that was not answered is followed by the next after a shorter time.
+    check_ms: float = 1_500.0
+    check_tolerance_ms: float = 1_000.0
+    check_retry_ms: float = 300.0
+    # Interval at which an instance that receives the change feed checks that it is still fed.
+    feed_check_ms: float = 250.0
+    # How long a pending watch may take to return changes that other instances have already. A slow
+    # store answers within this time.
+    gap_timeout_ms: float = 2_000.0
+    # Interval at which an instance with a pending watch checks whether it has become a watcher.
+    role_check_ms: float = 1_000.0
+
+
+class StoreAvailability:
+    """Tracks the loss and the return of the store for all callers of it in this instance."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        state: SharedState,
+        times: StoreCallTimes,
+        random: Callable[[], float],
+        on_return: Callable[[], None],
+    ) -> None:
+        """Call `on_return` when the store answers again after a failure."""
+        self._clock = clock
+        self._log = log
+        self._state = state
+        self._times = times
+        self._random = random
+        self._on_return = on_return
+        self._lost_since_ms = 0.0
+
+    async def pause(self, failure: StoreFailure, retry_ms: float) -> float:
+        """Wait before the next call; return the pause in ms after a further failure."""
+        self._handle_failure(failure)
+        jitter = 1.0 + RETRY_JITTER * self._random()
+        if self._state.catalog is None and not failure.is_overload:
+            retry_ms = min(retry_ms, self._times.max_unready_retry_ms)
+        await asyncio.sleep(retry_ms * jitter / 1_000)
+        return min(self._times.max_retry_ms, 2 * retry_ms)
+
+    def _handle_failure(self, failure: StoreFailure) -> None:
+        if not self._state.is_store_lost:
+            self._lost_since_ms = self._clock.now_ms()
+            self._state.is_store_lost = True
+            self._log.write(Event.STORE_LOST, "fleet", reason=failure.reason)
+
+    def handle_answer(self) -> None:
+        """Record that the store has answered; after a failure it has returned."""
+        now_ms = self._clock.now_ms()
+        self._state.confirmed_ms = now_ms
+        if self._state.is_store_lost:
+            self._state.is_store_lost = False
+            self._on_return()
+            self._state.registry.handle_store_return(now_ms)
+            self._state.members.handle_store_return(now_ms)
+            lost_ms = now_ms - self._lost_since_ms
+            self._log.write(Event.STORE_REGAINED, "fleet", lost_ms=round(lost_ms))
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -20,9 +20,10 @@
     HttpRequest,
     RequestHandler,
 )
+from .availability import StoreCallTimes
 from .calllog import CallLog
 from .clock import Clock
-from .fleet import SharedState, StateDecoder, StoreCallTimes, StoreFollower
+from .fleet import StoreFollower
 from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
 from .peering import Peering, join_address
 from .policy.calls import Answered, Outcome
@@ -36,6 +37,7 @@
 from .policy.selection import Selector
 from .policy.slowstart import ColdLimits, SlowStart
 from .randomness import RandomSource
+from .sharedstate import SharedState, StateDecoder
 from .statestore import StateStore
 
 # Interval of the check for overdue connections and expired entries.
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -7,7 +7,6 @@
 from .adapters.eventlog import Event, EventLog
 from .adapters.hintchannel import HintChannel, PeerMessage, encode
 from .clock import Clock
-from .fleet import SharedState
 from .policy.active import REPORT_INTERVAL_MS, SMALL_DOMAIN, ActiveSet
 from .policy.extraload import ExtraLoad
 from .policy.feed import WATCHER_COUNT, Feed, FeedBatch, split_changes
@@ -15,6 +14,7 @@
 from .policy.members import Member
 from .policy.selection import Selector
 from .policy.slowstart import SlowStart
+from .sharedstate import SharedState
 from .statestore import StoreChanges
 
 # For this long after the start, upstreams may still hold connections of the previous instance.
--- a/citronpaddle/platform/codec.py
+++ b/citronpaddle/platform/codec.py
@@ -3,12 +3,12 @@
 import json
 
 from ..adapters.httpserver import HttpAnswer, HttpRequest
-from ..fleet import StateDecoder
 from ..forwarding import RoutedRequest
 from ..gateway import CallerCodec, CallerRequest
 from ..policy.calls import Outcome
 from ..policy.catalog import Catalog
 from ..policy.registry import Upstream
+from ..sharedstate import StateDecoder
 from . import documents, headers
 
 
--- /dev/null
+++ b/citronpaddle/registration.py
@@ -0,0 +1,93 @@
+"""This instance's entry in the list of instances, which the store keeps under a lease."""
+
+import asyncio
+import json
+
+from .adapters.eventlog import Event, EventLog
+from .availability import StoreAvailability, StoreCallTimes
+from .policy.members import Member
+from .sharedstate import MEMBER_PREFIX
+from .statestore import Lease, LeaseEnded, StateStore, StoreFailure
+
+
+class Registration:
+    """Writes the entry, renews its lease, and writes it again when it was removed."""
+
+    def __init__(
+        self,
+        store: StateStore,
+        own: Member,
+        log: EventLog,
+        times: StoreCallTimes,
+        availability: StoreAvailability,
+    ) -> None:
+        self._store = store
+        self._own = own
+        self._log = log
+        self._times = times
+        self._availability = availability
+        self._lease: Lease | None = None
+        self._is_leaving = False
+        self._own_entry_lost = asyncio.Event()
+
+    async def leave(self) -> None:
+        """Remove this instance from the list of instances by one call, without a retry."""
+        self._is_leaving = True
+        self._own_entry_lost.set()
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            await self._store.end_lease(lease)
+
+    def handle_entry_removed(self) -> None:
+        """Write the entry again, since it was removed."""
+        if not self._is_leaving:
+            self._lease = None
+            self._own_entry_lost.set()
+
+    async def run(self) -> None:
+        """Maintain this instance's entry in the list of instances by a lease, until it leaves."""
+        retry_ms = self._times.first_retry_ms
+        while not self._is_leaving:
+            failure = await (
+                self._write_own_entry() if self._lease is None else self._renew_lease()
+            )
+            if failure is not None:
+                retry_ms = await self._availability.pause(failure, retry_ms)
+                continue
+            retry_ms = self._times.first_retry_ms
+            if self._lease is None:
+                continue
+            self._availability.handle_answer()
+            self._own_entry_lost.clear()
+            try:
+                async with asyncio.timeout(self._lease.ttl_ms * self._times.renew_share / 1_000):
+                    await self._own_entry_lost.wait()
+            except TimeoutError:
+                continue
+
+    async def _write_own_entry(self) -> StoreFailure | None:
+        lease = await self._store.grant_lease(self._times.lease_ms)
+        if isinstance(lease, StoreFailure):
+            return lease
+        own = self._own
+        entry = {
+            "address": own.address,
+            "domain": own.domain,
+            "hints": own.hints_address,
+            "cores": own.cores,
+        }
+        value = json.dumps(entry).encode()
+        result = await self._store.put(MEMBER_PREFIX + own.name, value, lease)
+        if isinstance(result, StoreFailure):
+            return result
+        if result is None:
+            self._lease = lease
+            self._log.write(Event.LEASE_GRANTED, "fleet", lease=lease.id, ttl_ms=lease.ttl_ms)
+        return None
+
+    async def _renew_lease(self) -> StoreFailure | None:
+        result = await self._store.renew_lease(self._lease)
+        if isinstance(result, LeaseEnded):
+            self._log.write(Event.LEASE_LOST, "fleet", lease=self._lease and self._lease.id)
+            self._lease = None
+        return result if isinstance(result, StoreFailure) else None
--- /dev/null
+++ b/citronpaddle/sharedstate.py
@@ -0,0 +1,235 @@
+"""The state that all instances share, as this instance knows it, and how changes are applied."""
+
+import json
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .adapters.eventlog import Event, EventLog
+from .clock import Clock
+from .policy.catalog import Catalog
+from .policy.members import Member, Members
+from .policy.registry import Registry, Upstream
+from .policy.selection import Selector
+from .statestore import StoreItem, StoreView
+
+MEMBER_PREFIX = "citronpaddle/instances/"
+
+
+class StateDecoder(ABC):
+    """Decodes the platform's documents; an invalid document gives the reason instead."""
+
+    @abstractmethod
+    def is_catalog(self, key: str) -> bool:
+        """Return whether the key holds the configuration."""
+
+    @abstractmethod
+    def find_domain_taken_out(self, key: str) -> str | None:
+        """Return the failure domain that the existence of the key takes out of service, or None."""
+
+    @abstractmethod
+    def find_upstream_id(self, key: str) -> str | None:
+        """Return the id of the upstream whose entry the key holds, or None."""
+
+    @abstractmethod
+    def decode_catalog(self, value: bytes) -> Catalog | str:
+        """Return the configuration, or why it is invalid."""
+
+    @abstractmethod
+    def decode_upstream(self, upstream_id: str, value: bytes, now_ms: float) -> Upstream | str:
+        """Return the upstream, or why the entry does not name a usable one."""
+
+
+@dataclass(slots=True)
+class SharedState:
+    """The shared state as known to this instance; `catalog` is None until the first configuration.
+
+    `confirmed_ms` is when the state was last confirmed to be current, `store_read_ms` when the
+    store last answered this instance's own watch or read; both are monotonic times.
+    """
+
+    registry: Registry
+    members: Members
+    catalog: Catalog | None = None
+    revision: int = 0
+    confirmed_ms: float = 0.0
+    store_read_ms: float = 0.0
+    is_store_lost: bool = False
+
+
+class StateUpdater:
+    """Applies the store's items to the shared state."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        decoder: StateDecoder,
+        state: SharedState,
+        selector: Selector,
+        log: EventLog,
+        on_change: Callable[[], None],
+        on_own_entry_removed: Callable[[], None],
+    ) -> None:
+        """Call `on_change` after changes, the other when this instance's entry was removed."""
+        self._clock = clock
+        self._decoder = decoder
+        self._state = state
+        self._selector = selector
+        self._log = log
+        self._on_change = on_change
+        self._on_own_entry_removed = on_own_entry_removed
+        # During a full read, the revisions at which keys were removed by relayed changes.
+        self._removed_while_reading: dict[str, int] | None = None
+        self._revisions: dict[str, int] = {}
+        self._out_domains: dict[str, str] = {}
+
+    def begin_full_read(self) -> None:
+        """Prepare for a view of the store that may be older than changes applied meanwhile."""
+        self._removed_while_reading = {}
+
+    def apply_changes(self, items: tuple[StoreItem, ...], revision: int) -> None:
+        """Apply the changes that are newer than the known revision, up to `revision`."""
+        known = self._state.revision
+        new_items = [item for item in items if item.revision > known]
+        for item in new_items:
+            self._apply_item(item)
+        self._state.revision = max(known, revision)
+        if new_items:
+            self._on_change()
+
+    def apply_view(self, view: StoreView) -> None:
+        """Apply a full view of the store; keys that are not in it have been deleted.
+
+        Changes relayed while the view was read may be newer than it and stay in effect.
+        """
+        removed, self._removed_while_reading = self._removed_while_reading or {}, None
+        present = {item.key for item in view.items}
+        for key in list(self._revisions):
+            if key not in present:
+                self._apply_item(StoreItem(key, None, view.revision))
+        for item in view.items:
+            if item.revision > removed.get(item.key, 0):
+                self._apply_item(item)
+        self._state.revision = max(self._state.revision, view.revision)
+        self._on_change()
+
+    def _apply_item(self, item: StoreItem) -> None:
+        """Apply one change, unless a newer one of its key has been applied."""
+        if item.revision < self._revisions.get(item.key, 0):
+            return
+        if item.value is None:
+            self._revisions.pop(item.key, None)
+            if self._removed_while_reading is not None:
+                self._removed_while_reading[item.key] = item.revision
+        else:
+            self._revisions[item.key] = item.revision
+        upstream_id = self._decoder.find_upstream_id(item.key)
+        out_domain = self._decoder.find_domain_taken_out(item.key)
+        if upstream_id is not None:
+            self._apply_upstream(upstream_id, item.value)
+        elif out_domain is not None:
+            self._apply_out_domain(item.key, out_domain, item.value is not None)
+        elif self._decoder.is_catalog(item.key):
+            self._apply_catalog(item.value, item.revision)
+        elif item.key.startswith(MEMBER_PREFIX):
+            self._apply_member(item.key[len(MEMBER_PREFIX) :], item.value)
+
+    def _apply_upstream(self, upstream_id: str, value: bytes | None) -> None:
+        now_ms = self._clock.now_ms()
+        registry = self._state.registry
+        if value is None:
+            if registry.remove(upstream_id, now_ms):
+                self._handle_upstream_gone(upstream_id, "entry removed")
+            return
+        decoded = self._decoder.decode_upstream(upstream_id, value, now_ms)
+        if isinstance(decoded, str):
+            registry.remove_invalid(upstream_id)
+            self._log.write(Event.UPSTREAM_REFUSED, "fleet", upstream=upstream_id, reason=decoded)
+            return
+        known = registry.get(upstream_id)
+        if known is not None and known.started_at_ms != decoded.started_at_ms:
+            self._selector.remove_upstream(upstream_id)
+        if registry.put(decoded) and not _is_unchanged(known, decoded):
+            self._log.write(
+                Event.UPSTREAM_LISTED,
+                "fleet",
+                upstream=upstream_id,
+                service=decoded.service,
+                domain=decoded.domain,
+                leaving=decoded.is_leaving,
+                cold_ms=round(decoded.cold_until_ms - now_ms),
+            )
+
+    def _handle_upstream_gone(self, upstream_id: str, reason: str) -> None:
+        self._selector.remove_upstream(upstream_id)
+        self._log.write(Event.UPSTREAM_GONE, "fleet", upstream=upstream_id, reason=reason)
+
+    def _apply_out_domain(self, key: str, domain: str, is_out: bool) -> None:
+        if is_out:
+            self._out_domains[key] = domain
+        else:
+            self._out_domains.pop(key, None)
+        registry = self._state.registry
+        for returned in registry.set_out_domains(frozenset(self._out_domains.values())):
+            # Without recent load, its upstreams may be cold, which their entries may not show.
+            registry.mark_domain_cold(returned, self._clock.now_ms() + self._compute_max_cold_ms())
+        self._log.write(Event.DOMAINS_OUT, "fleet", domains=sorted(registry.out_domains))
+
+    def _compute_max_cold_ms(self) -> float:
+        catalog = self._state.catalog
+        services = catalog.services.values() if catalog else ()
+        return max((service.cold_ms for service in services), default=0.0)
+
+    def _apply_catalog(self, value: bytes | None, revision: int) -> None:
+        if value is None:
+            return
+        decoded = self._decoder.decode_catalog(value)
+        current = self._state.catalog
+        if isinstance(decoded, str):
+            self._log.write(
+                Event.CONFIGURATION_REFUSED, "fleet", reason=decoded, store_revision=revision
+            )
+        elif current is None or decoded.version > current.version:
+            self._state.catalog = decoded
+            self._log.write(
+                Event.CONFIGURATION_TAKEN,
+                "fleet",
+                version=decoded.version,
+                previous=current.version if current else None,
+                store_revision=revision,
+                routes=len(decoded.routes),
+            )
+
+    def _apply_member(self, name: str, value: bytes | None) -> None:
+        now_ms = self._clock.now_ms()
+        members = self._state.members
+        if value is None:
+            members.remove(name, now_ms)
+            if name == members.own.name:
+                self._on_own_entry_removed()
+        else:
+            try:
+                entry = json.loads(value)
+                address, domain = str(entry["address"]), str(entry["domain"])
+                hints, cores = str(entry.get("hints", "")), float(entry.get("cores", 1.0))
+                members.put(Member(name, address, domain, hints, cores), now_ms)
+            except (ValueError, KeyError, TypeError) as error:
+                self._log.write(Event.INTERNAL_ERROR, "fleet", reason=f"entry of {name}: {error!r}")
+                return
+        self._log.write(
+            Event.INSTANCES_CHANGED, "fleet", name=name, listed=len(members.list_names())
+        )
+
+    def expire_entries(self) -> None:
+        """Remove entries that have not returned to the store within their grace period."""
+        now_ms = self._clock.now_ms()
+        for upstream_id in self._state.registry.expire(now_ms):
+            self._handle_upstream_gone(upstream_id, "missing after the store's return")
+        self._state.members.expire(now_ms)
+
+
+def _is_unchanged(known: Upstream | None, decoded: Upstream) -> bool:
+    """Return whether an entry changes nothing but how long its upstream stays cold."""
+    return known is not None and known == decoded._replace(
+        cold_until_ms=known.cold_until_ms, sequence=known.sequence
+    )
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -17,8 +17,9 @@
 from citronpaddle.adapters.connections import Address
 from citronpaddle.adapters.eventlog import EventLog
 from citronpaddle.adapters.hintchannel import PeerMessage, decode
+from citronpaddle.availability import StoreCallTimes
 from citronpaddle.clock import Clock
-from citronpaddle.fleet import SharedState, StoreCallTimes, StoreFollower
+from citronpaddle.fleet import StoreFollower
 from citronpaddle.peering import Peering
 from citronpaddle.platform.codec import PlatformStateDecoder
 from citronpaddle.policy.extraload import ExtraLoad, ExtraLoadLimits
@@ -28,6 +29,7 @@
 from citronpaddle.policy.selection import Selector
 from citronpaddle.policy.slowstart import ColdLimits, SlowStart
 from citronpaddle.randomness import RandomSource
+from citronpaddle.sharedstate import SharedState
 from citronpaddle.statestore import (
     HistoryLost,
     Lease,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,8 +11,9 @@
 from fakestore import FakeStore
 
 from citronpaddle.adapters.eventlog import EventLog
+from citronpaddle.availability import StoreCallTimes
 from citronpaddle.clock import SystemClock
-from citronpaddle.fleet import MEMBER_PREFIX, SharedState, StoreCallTimes, StoreFollower
+from citronpaddle.fleet import StoreFollower
 from citronpaddle.platform.codec import PlatformStateDecoder
 from citronpaddle.policy.feed import Feed, FeedBatch
 from citronpaddle.policy.members import Member, Members
@@ -20,6 +21,7 @@
 from citronpaddle.policy.selection import Selector
 from citronpaddle.policy.slowstart import ColdLimits, SlowStart
 from citronpaddle.randomness import RandomSource
+from citronpaddle.sharedstate import MEMBER_PREFIX, SharedState
 from citronpaddle.statestore import StoreItem
 
 TIMES = StoreCallTimes(
