Let reserved slots expire

Cause: an instance that was paused while requests waited for slots at a limited upstream sent all of them at once when it continued. Change: a slot is valid for 200 ms after its time; a request that misses it takes the next free one.

--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -41,6 +41,9 @@
 # Weight of a new sample in the baseline latency, and the bound of a sample as a multiple of it.
 _BASELINE_WEIGHT = 0.05
 _BASELINE_SAMPLE_BOUND = 3.0
+# How long after its time a reserved slot may be used. An instance that was paused would otherwise
+# use all slots of its pause at once.
+RESERVATION_VALIDITY_MS = 200.0
 
 
 class Choice(NamedTuple):
@@ -171,8 +174,10 @@
         return Reservation(upstream, self._rate_limits.take_slot(upstream.id, now_ms))
 
     def may_use(self, reservation: Reservation, now_ms: float) -> bool:
-        """Return whether the upstream of a reservation can still take a request."""
+        """Return whether a reservation is still valid and its upstream can take a request."""
         upstream = reservation.upstream
+        if now_ms - reservation.at_ms > RESERVATION_VALIDITY_MS:
+            return False
         if upstream not in self._registry.list_available(upstream.service):
             return False
         return self._has_room(upstream, self._get_limits(upstream.service), now_ms)
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -173,6 +173,20 @@
     assert not simulation.calls and isinstance(exchange.outcome, Refused)
 
 
+def test_slots_of_a_pause_are_not_used_at_once():
+    """Guards against a burst at an upstream in need when a paused instance continues."""
+    upstreams = [make_upstream("a0")]
+    simulation = ExchangeSimulation(upstreams, lambda call, now_ms: succeed(), instances=1)
+    simulation.selector.record_limit("a0", 10.0, simulation.now_ms, simulation.now_ms)
+    route = make_single_route(objective_ms=900.0, timeout_ms=20_000.0)
+    exchanges = [simulation.start(route, 20_000.0) for _ in range(6)]
+    simulation.now_ms += 5_000.0
+    for exchange in exchanges:
+        exchange.handle_timer(simulation.now_ms)
+    sent = [exchange for exchange in exchanges if exchange.open_calls]
+    assert len(sent) == 1
+
+
 def test_refused_call_with_a_limit_counts_like_an_answer():
     """Guards against ignoring the limit that an upstream names when it rejects a call."""
     upstreams = [make_upstream("a0")]
