Describe the rate limits, and name permits

The glossary has slots for the concurrent calls of an upstream; the times at which an instance may send to a limited one are permits.

--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -73,7 +73,7 @@
     used_upstreams: set[str] = field(default_factory=set)
     calls: int = 0
     resume_ms: float = 0.0
-    # The slot for which the part waits until `resume_ms`.
+    # The permit for which the part waits until `resume_ms`.
     reservation: Reservation | None = None
     # Number of ended calls that an upstream may have run.
     possibly_run_calls: int = 0
@@ -384,7 +384,7 @@
     def _wait_for_upstream(self, part: _Part, choice: Choice | None, now_ms: float) -> bool:
         """Let the part wait if no healthy upstream can take it now; return whether it waits.
 
-        A part that would get a slot at rate-limited upstreams too late does not wait.
+        A part that would get a permit at rate-limited upstreams too late does not wait.
         """
         if choice is not None and choice.is_healthy:
             return False
--- a/citronpaddle/policy/ratelimit.py
+++ b/citronpaddle/policy/ratelimit.py
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True)
 class _Limit:
-    """The limit of one upstream: when it was last named, and the time of the next free slot."""
+    """The limit of one upstream: when it was last named, and the time of the next free permit."""
 
     rate_per_s: float
     named_ms: float
@@ -27,12 +27,12 @@
 class RateLimits:
     """This instance's share of the rates that upstreams have named.
 
-    Requests to a limited upstream are spaced evenly, without bursts. A slot may be reserved for
+    Requests to a limited upstream are spaced evenly, without bursts. A permit may be reserved for
     a request that has to wait, so that the time of every waiting request is known.
     """
 
     def __init__(self, draw: Callable[[], float]) -> None:
-        """Draw the time of each first slot with `draw`, so that instances are out of phase."""
+        """Draw the time of each first permit with `draw`, so that instances are out of phase."""
         self._draw = draw
         self._share = 1.0
         self._limits: dict[str, _Limit] = {}
@@ -78,18 +78,18 @@
         known.rate_per_s = limit_per_s
         return is_reported
 
-    def find_slot_ms(self, upstream_id: str, now_ms: float) -> float:
+    def find_permit_ms(self, upstream_id: str, now_ms: float) -> float:
         """Return when the next request may be sent; it is `now_ms` for an unlimited upstream."""
         limit = self._limits.get(upstream_id)
         return now_ms if limit is None else max(now_ms, limit.next_ms)
 
-    def take_slot(self, upstream_id: str, now_ms: float) -> float:
-        """Take the next slot and return its time."""
-        slot_ms = self.find_slot_ms(upstream_id, now_ms)
+    def take_permit(self, upstream_id: str, now_ms: float) -> float:
+        """Take the next permit and return its time."""
+        permit_ms = self.find_permit_ms(upstream_id, now_ms)
         limit = self._limits.get(upstream_id)
         if limit is not None:
-            limit.next_ms = slot_ms + self._compute_interval_ms(limit.rate_per_s)
-        return slot_ms
+            limit.next_ms = permit_ms + self._compute_interval_ms(limit.rate_per_s)
+        return permit_ms
 
     def remove_upstream(self, upstream_id: str) -> None:
         """Remove the limit of an upstream that is no longer listed or has restarted."""
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -41,8 +41,8 @@
 # Weight of a new sample in the baseline latency, and the bound of a sample as a multiple of it.
 _BASELINE_WEIGHT = 0.05
 _BASELINE_SAMPLE_BOUND = 3.0
-# How long after its time a reserved slot may be used. An instance that was paused would otherwise
-# use all slots of its pause at once.
+# How long after its time a reserved permit may be used. An instance that was paused would otherwise
+# use all permits of its pause at once.
 RESERVATION_VALIDITY_MS = 200.0
 
 
@@ -54,7 +54,7 @@
 
 
 class Reservation(NamedTuple):
-    """A slot at a rate-limited upstream, to be used at `at_ms`."""
+    """A permit at a rate-limited upstream, to be used at `at_ms`."""
 
     upstream: Upstream
     at_ms: float
@@ -159,19 +159,19 @@
     def reserve(
         self, service: str, now_ms: float, latest_ms: float, avoid: Collection[str] = ()
     ) -> Reservation | None:
-        """Reserve the next slot at a rate-limited upstream, or return None after `latest_ms`."""
+        """Reserve the next permit at a rate-limited upstream, or return None after `latest_ms`."""
         limits = self._get_limits(service)
-        slots = [
-            (self._rate_limits.find_slot_ms(upstream.id, now_ms), upstream)
+        permits = [
+            (self._rate_limits.find_permit_ms(upstream.id, now_ms), upstream)
             for upstream in self._list_limited(service)
             if upstream.id not in avoid and self._has_room(upstream, limits, now_ms)
         ]
-        if not slots:
+        if not permits:
             return None
-        slot_ms, upstream = min(slots)
-        if slot_ms > latest_ms:
+        permit_ms, upstream = min(permits)
+        if permit_ms > latest_ms:
             return None
-        return Reservation(upstream, self._rate_limits.take_slot(upstream.id, now_ms))
+        return Reservation(upstream, self._rate_limits.take_permit(upstream.id, now_ms))
 
     def may_use(self, reservation: Reservation, now_ms: float) -> bool:
         """Return whether a reservation is still valid and its upstream can take a request."""
@@ -185,16 +185,16 @@
     def estimate_wait_ms(
         self, service: str, now_ms: float, avoid: Collection[str] = ()
     ) -> float | None:
-        """Return the time to the next slot if all upstreams of `service` are rate-limited."""
+        """Return the time to the next permit if all upstreams of `service` are rate-limited."""
         limited = self._list_limited(service)
         if not limited or len(limited) < len(self._registry.list_available(service)):
             return None
-        slots_ms = [
-            self._rate_limits.find_slot_ms(upstream.id, now_ms)
+        permits_ms = [
+            self._rate_limits.find_permit_ms(upstream.id, now_ms)
             for upstream in limited
             if upstream.id not in avoid
         ]
-        return min(slots_ms) - now_ms if slots_ms else None
+        return min(permits_ms) - now_ms if permits_ms else None
 
     def list_limited_ids(self, service: str) -> list[str]:
         """Return the ids of the upstreams of `service` that name a rate limit."""
@@ -209,7 +209,7 @@
     def _has_capacity(
         self, upstream: Upstream, limits: ServiceLimits | None, now_ms: float
     ) -> bool:
-        if self._rate_limits.find_slot_ms(upstream.id, now_ms) > now_ms:
+        if self._rate_limits.find_permit_ms(upstream.id, now_ms) > now_ms:
             return False
         return self._has_room(upstream, limits, now_ms)
 
@@ -253,10 +253,10 @@
     def record_sent(
         self, upstream: Upstream, call_id: int, now_ms: float, is_reserved: bool = False
     ) -> None:
-        """Record that a call was sent and is open; it takes a slot unless one `is_reserved`."""
+        """Record that a call was sent and is open; it takes a permit unless one `is_reserved`."""
         self._call_count += 1
         if not is_reserved:
-            self._rate_limits.take_slot(upstream.id, now_ms)
+            self._rate_limits.take_permit(upstream.id, now_ms)
         self._get_or_create_stats(upstream.id, now_ms).open_sent_ms[call_id] = now_ms
         if upstream.cold_until_ms > now_ms:
             limits = self._get_limits(upstream.service)
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -73,7 +73,7 @@
 def test_limits_are_shared_when_hints_on_late_calls_are_not():
     """Guards against requests that are refused after the need of an upstream has ended.
 
-    On a site of nine instances, an instance with a ninth of a limit of 1/s has a slot every 9 s,
+    On a site of nine instances, an instance with a ninth of a limit of 1/s has a permit every 9 s,
     and learned only then that the limit had ended.
     """
     simulation = ExchangeSimulation(PAIR, lambda call, now_ms: succeed())
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -123,7 +123,7 @@
 
 
 def test_requests_beyond_all_limits_are_refused_at_once():
-    """Guards against callers that wait for a slot until their deadline, and against idle slots.
+    """Guards against callers that wait for a permit until their deadline, and against idle permits.
 
     Both replicas name a limit; together they take two thirds of the load.
     """
@@ -140,7 +140,7 @@
     assert len(in_need) >= 0.9 * 2 * LIMIT_PER_S * (NEED_MS[1] - NEED_MS[0]) / 1_000
 
 
-def test_query_does_not_wait_for_a_shard_without_a_slot():
+def test_query_does_not_wait_for_a_shard_without_a_permit():
     """Guards against an answer that is held for a part which cannot come in time."""
     upstreams = [make_upstream("a0"), make_upstream("a1", "s1")]
     simulation = ExchangeSimulation(upstreams, lambda call, now_ms: succeed())
@@ -161,8 +161,8 @@
     assert [call.upstream.id for _, call in simulation.calls] == ["a0"]
 
 
-def test_slot_of_an_upstream_that_has_left_is_not_used():
-    """Guards against a request to an upstream that left while the request waited for its slot."""
+def test_permit_of_an_upstream_that_has_left_is_not_used():
+    """Guards against a request to an upstream that left while the request waited for its permit."""
     simulation = ExchangeSimulation([make_upstream("a0")], lambda call, now_ms: succeed())
     simulation.selector.record_limit("a0", 45.0, simulation.now_ms, simulation.now_ms)
     simulation.selector.reserve("s0", simulation.now_ms, float("inf"))
@@ -173,7 +173,7 @@
     assert not simulation.calls and isinstance(exchange.outcome, Refused)
 
 
-def test_slots_of_a_pause_are_not_used_at_once():
+def test_permits_of_a_pause_are_not_used_at_once():
     """Guards against a burst at an upstream in need when a paused instance continues."""
     upstreams = [make_upstream("a0")]
     simulation = ExchangeSimulation(upstreams, lambda call, now_ms: succeed(), instances=1)
@@ -213,13 +213,13 @@
     assert reported == [True, False, False, True]
 
 
-def test_slots_follow_the_limit_and_the_share():
-    """Guards against bursts, and against slots of an old limit after it has changed."""
+def test_permits_follow_the_limit_and_the_share():
+    """Guards against bursts, and against permits of an old limit after it has changed."""
     limits = RateLimits(lambda: 0.0)
     limits.set_share(0.5)
     limits.record_answer("u", 10.0, 0.0, 0.0)
-    assert [limits.take_slot("u", 0.0) for _ in range(3)] == [0.0, 200.0, 400.0]
+    assert [limits.take_permit("u", 0.0) for _ in range(3)] == [0.0, 200.0, 400.0]
     limits.record_answer("u", 20.0, 0.0, 0.0)
-    assert limits.find_slot_ms("u", 0.0) == pytest.approx(300.0)
+    assert limits.find_permit_ms("u", 0.0) == pytest.approx(300.0)
     limits.record_answer("u", 0.0, 0.0, 0.0)
-    assert limits.find_slot_ms("u", 0.0) == pytest.approx(3 * 1_000.0 / (0.5 * MIN_RATE_PER_S))
+    assert limits.find_permit_ms("u", 0.0) == pytest.approx(3 * 1_000.0 / (0.5 * MIN_RATE_PER_S))
