--- a/tests/test_staleness.py
+++ b/tests/test_staleness.py
@@ -183,8 +183,8 @@
         return runner.run(play(seed, site))
 
 
-# In 83 an instance lost a change when batches claimed more than they contained; in the others of the
-# first six an unanswered watch was kept, or found too late.
+# In 83 an instance lost a change when batches claimed more than they contained; in the others of
+# the first six an unanswered watch was kept, or found too late.
 @pytest.mark.parametrize("seed", [57, 83, 115, 143, 152, 330, 0, 1])
 def test_version_is_in_force_in_time_at_every_instance_in_touch(seed):
     """Guards against an instance that misses a confirmed configuration while others have faults."""
