Keep permits when an entry is renewed, and let refused callers return in a second

Found by reading the diff: a reserved permit was lost when the entry of its upstream had been renewed meanwhile, since whole entries were compared. A refusal named the time of this instance's next permit, minutes at a low limit, although another instance may have one sooner. Change: id and address are compared; Retry-After is at most 1 s. Result: the test of the first failed before. No figure of callers was measured.

--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -56,6 +56,9 @@
 # Retry delay sent to the caller when too few upstreams are listed, and for all other refusals.
 RETRY_UNLISTED_MS = 400.0
 RETRY_REJECTED_MS = 100.0
+# Maximum retry delay when all upstreams are rate-limited: another instance may have a permit sooner
+# than this one, and a limit may end.
+MAX_RETRY_LIMITED_MS = 1_000.0
 # Minimum delay of the timer for a part with open calls.
 MIN_TIMER_DELAY_MS = 1.0
 # Tolerance when a count of parts is compared with a fractional minimum.
@@ -403,7 +406,7 @@
         wait_ms = selector.estimate_wait_ms(part.service, now_ms, excluded)
         if wait_ms is not None and now_ms + wait_ms > latest_ms:
             part.last_failure = part.last_failure or "limited"
-            self._retry_ms = max(self._retry_ms, wait_ms)
+            self._retry_ms = max(self._retry_ms, min(wait_ms, MAX_RETRY_LIMITED_MS))
             return False
         part.resume_ms = now_ms + CAPACITY_RECHECK_MS
         return True
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -178,7 +178,9 @@
         upstream = reservation.upstream
         if now_ms - reservation.at_ms > RESERVATION_VALIDITY_MS:
             return False
-        if upstream not in self._registry.list_available(upstream.service):
+        # Its entry may have changed meanwhile, but not its address.
+        available = self._registry.list_available(upstream.service)
+        if (upstream.id, upstream.address) not in [(one.id, one.address) for one in available]:
             return False
         return self._has_room(upstream, self._get_limits(upstream.service), now_ms)
 
--- a/tests/test_ratelimit.py
+++ b/tests/test_ratelimit.py
@@ -21,6 +21,7 @@
 
 from citronpaddle.policy.calls import Answered, FailureKind, Outcome, Refused
 from citronpaddle.policy.catalog import Route
+from citronpaddle.policy.exchange import MAX_RETRY_LIMITED_MS
 from citronpaddle.policy.ratelimit import MIN_RATE_PER_S, RateLimits
 from citronpaddle.randomness import RandomSource
 
@@ -135,7 +136,7 @@
     assert max(one.took_ms for one in answered) <= 300.0
     refused = [one for one in served if isinstance(one.outcome, Refused)]
     assert refused and max(one.took_ms for one in refused) <= 1.0
-    assert all(one.outcome.retry_ms > 0 for one in refused)
+    assert all(0 < one.outcome.retry_ms <= MAX_RETRY_LIMITED_MS for one in refused)
     in_need = [one for one in answered if NEED_MS[0] <= one.asked_ms < NEED_MS[1]]
     assert len(in_need) >= 0.9 * 2 * LIMIT_PER_S * (NEED_MS[1] - NEED_MS[0]) / 1_000
 
@@ -173,6 +174,18 @@
     assert not simulation.calls and isinstance(exchange.outcome, Refused)
 
 
+def test_permit_is_used_although_the_entry_of_its_upstream_has_changed():
+    """Guards against a permit that is lost when the upstream renews its entry."""
+    simulation = ExchangeSimulation([make_upstream("a0")], lambda call, now_ms: succeed())
+    simulation.selector.record_limit("a0", 45.0, simulation.now_ms, simulation.now_ms)
+    simulation.selector.reserve("s0", simulation.now_ms, float("inf"))
+    exchange = simulation.start(make_single_route(objective_ms=900.0))
+    due_ms = exchange.next_timer_ms(simulation.now_ms)
+    simulation.registry.put(make_upstream("a0", sequence=2))
+    simulation.step(exchange)
+    assert [at_ms for at_ms, _ in simulation.calls] == [due_ms]
+
+
 def test_permits_of_a_pause_are_not_used_at_once():
     """Guards against a burst at an upstream in need when a paused instance continues."""
     upstreams = [make_upstream("a0")]
