Do not take a message about a limit for a regular report

Found by reading the diff: every message of an instance counted as a report, and one that then sent no more for 1.6 s as silent; silent instances are left out of those in use in large domains. Messages about limits are rare, so that an instance which had reported one would have counted as silent for up to 10 s. Change: a message that has only limits is no report.

--- a/citronpaddle/adapters/hintchannel.py
+++ b/citronpaddle/adapters/hintchannel.py
@@ -10,7 +10,7 @@
 
 from ..generated.hints import ttypes
 from ..policy.feed import FeedBatch
-from ..policy.hints import Hint, HintKind
+from ..policy.hints import LIMIT_KINDS, Hint, HintKind
 from ..statestore import StoreItem
 from .connections import Address
 
@@ -30,6 +30,11 @@
     hints: tuple[Hint, ...] = ()
     feed: FeedBatch | None = None
 
+    @property
+    def reports_only_limits(self) -> bool:
+        """Return whether the message was sent only because a rate limit began or ended."""
+        return bool(self.hints) and all(hint.kind in LIMIT_KINDS for hint in self.hints)
+
 
 def encode(message: PeerMessage) -> bytes:
     """Return the encoded message.
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -144,7 +144,9 @@
 
     def _handle_message(self, message: PeerMessage) -> None:
         now_ms = self._clock.now_ms()
-        self._active.record_loop_lag(message.sender, message.loop_lag_ms, now_ms)
+        if not message.reports_only_limits:
+            # Others are sent regularly, and their sender counts as silent without them.
+            self._active.record_loop_lag(message.sender, message.loop_lag_ms, now_ms)
         for hint in self.hints.apply(message.hints, now_ms):
             self._log_peer_limit(message.sender, hint)
         if message.feed is not None:
--- a/citronpaddle/policy/hints.py
+++ b/citronpaddle/policy/hints.py
@@ -34,6 +34,10 @@
     UNLIMITED = 3
 
 
+# The kinds that are sent when they occur, however rarely; the others come regularly.
+LIMIT_KINDS = frozenset({HintKind.LIMITED, HintKind.UNLIMITED})
+
+
 class Hint(NamedTuple):
     """One observation.
 
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -89,6 +89,14 @@
     assert hints.pop_pending() == [Hint(HintKind.UNLIMITED, "u0", 0.0)]
 
 
+def test_message_about_a_limit_is_no_regular_report():
+    """Guards against an instance that counts as silent because it once reported a limit."""
+    limit, late = Hint(HintKind.LIMITED, "a0", 1.0), Hint(HintKind.LATE, "a0", 1.0)
+    assert PeerMessage("i0", 1.0, (limit,)).reports_only_limits
+    assert not PeerMessage("i0", 1.0, (limit, late)).reports_only_limits
+    assert not PeerMessage("i0", 1.0).reports_only_limits
+
+
 def test_limit_reported_by_another_instance_is_applied():
     """Guards against unreadable limits of other instances, and against ignored ones."""
     simulation = ExchangeSimulation(PAIR, lambda call, now_ms: succeed())
