Explain requests that were refused for want of a permit

citronpaddle-explain shows the limits of the instance before a request, also of upstreams that were not called, and names the finding.

--- a/citronpaddle/explanation.py
+++ b/citronpaddle/explanation.py
@@ -16,6 +16,7 @@
         "domains_out",
         "upstream_listed",
         "upstream_gone",
+        "upstream_limited",
         "stopping",
     }
 )
@@ -73,12 +74,19 @@
         if line["event"] in STATE_EVENTS
         and line.get("instance") in instances
         and first_ms - STATE_WINDOW_MS <= line.get("time_ms", 0) <= last_ms
-        and ("upstream" not in line or line["upstream"] in called_upstreams)
+        and _may_concern(line, called_upstreams)
     )
     findings = tuple(dict.fromkeys(_derive_findings(request_lines, state)))
     return RequestReport(request_id, request_lines, state, findings)
 
 
+def _may_concern(line: dict[str, Any], called_upstreams: set[str]) -> bool:
+    """Return whether a state change may have mattered to a request with these calls."""
+    # An upstream without a permit was not called, which is what its limit explains.
+    is_limit = line["event"] == "upstream_limited"
+    return is_limit or "upstream" not in line or line["upstream"] in called_upstreams
+
+
 def _list_called_upstreams(request_lines: tuple[dict[str, Any], ...]) -> set[str]:
     called_upstreams = {line["upstream"] for line in request_lines if "upstream" in line}
     for line in request_lines:
@@ -99,6 +107,8 @@
             yield f"part {service} is missing: {fault}, called {called}"
         if line.get("reason") in ("no_upstream", "too_few_shards"):
             yield "no upstream was listed for the request, or for too many of its shards"
+        if line.get("reason") == "limited":
+            yield "all upstreams of the service name a rate limit, which was used up"
         if line.get("state_age_ms", 0) > STALE_STATE_MS:
             yield f"the store did not answer for {line['state_age_ms']} ms: the state was stale"
     if any(line["event"] == "store_lost" for line in state):
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -113,6 +113,19 @@
     assert any("store was lost" in finding for finding in report.findings)
 
 
+def test_report_on_a_refused_request_names_the_rate_limit():
+    """Guards against a refusal for want of permits that looks like one for want of upstreams."""
+    lines = [
+        {"time_ms": 900, "instance": "i0", "event": "upstream_limited", "upstream": "u1"}
+        | {"limit_per_s": 1.0},
+        {"time_ms": 1000, "instance": "i0", "event": "request_ended", "id": "t1"}
+        | {"outcome": "refused", "reason": "limited"},
+    ]
+    report = explain("t1", read_lines(map(json.dumps, lines)))
+    assert [line["event"] for line in report.state] == ["upstream_limited"]
+    assert report.findings == ("all upstreams of the service name a rate limit, which was used up",)
+
+
 def test_command_prints_the_report_or_exits_with_1(tmp_path):
     """Guards against an exit code that does not tell scripts whether the request was found."""
     path = tmp_path / "log"
