Pass the channel to Peering, in place of replacing it in tests

tests/fleetworld replaced the class for the whole test process, so that later tests of an instance in that process would have had a simulated channel. No logic changes.

--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -23,6 +23,8 @@
 LOOP_LAG_WEIGHT = 0.2
 # Interval of the check whether hints are useful.
 HINTS_REVIEW_INTERVAL_MS = 2_000.0
+# Creates the channel from the callbacks for messages and for refused ones.
+ChannelMaker = Callable[[Callable[[PeerMessage], None], Callable[[str], None]], HintChannel]
 
 
 class Peering:
@@ -41,7 +43,9 @@
         extra_load: ExtraLoad,
         slow_start: SlowStart,
         on_feed: Callable[[str, FeedBatch], None],
+        make_channel: ChannelMaker = HintChannel,
     ) -> None:
+        """Pass the batches of other instances to `on_feed`."""
         self.loop_lag_ms = 0.0
         self.hints = Hints(selector, self._schedule_hints)
         self._clock = clock
@@ -54,7 +58,7 @@
         self._extra_load = extra_load
         self._slow_start = slow_start
         self._active = ActiveSet()
-        self._channel = HintChannel(self._handle_message, self._log_refused_message)
+        self._channel = make_channel(self._handle_message, self._log_refused_message)
         self._peers: list[Address] = []
         # The addresses of the other instances of this failure domain, if it is a large one.
         self._domain_peers: list[Address] = []
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -13,7 +13,6 @@
 
 from test_fleet import make_config, make_entry
 
-from citronpaddle import peering as peering_module
 from citronpaddle.adapters.connections import Address
 from citronpaddle.adapters.eventlog import EventLog
 from citronpaddle.adapters.hintchannel import PeerMessage, decode
@@ -383,6 +382,7 @@
             extra_load,
             slow_start,
             lambda sender, batch: self.follower.apply_batch(sender, batch),
+            lambda on_message, on_refused: SimulatedChannel(world.network, on_message),
         )
         self.follower = StoreFollower(
             clock,
@@ -456,9 +456,6 @@
 
     async def start_instance(self, number: int) -> None:
         """Start an instance, or start it again."""
-        peering_module.HintChannel = lambda on_message, on_refused: SimulatedChannel(
-            self.network, on_message
-        )
         instance = SimulatedInstance(number, self, self.random.random, self._cores[number])
         self.instances[number] = instance
         await instance.start()
