--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -385,7 +385,7 @@
         return choice
 
     def _wait_for_upstream(self, part: _Part, choice: Choice | None, now_ms: float) -> bool:
-        """Let the part wait if no healthy upstream can take it now; return whether it waits.
+        """Make the part wait if no healthy upstream can accept it now; return whether it waits.
 
         A part that would get a permit at rate-limited upstreams too late does not wait.
         """
--- a/citronpaddle/policy/ratelimit.py
+++ b/citronpaddle/policy/ratelimit.py
@@ -84,7 +84,7 @@
         return now_ms if limit is None else max(now_ms, limit.next_ms)
 
     def take_permit(self, upstream_id: str, now_ms: float) -> float:
-        """Take the next permit and return its time."""
+        """Consume the next permit and return its time."""
         permit_ms = self.find_permit_ms(upstream_id, now_ms)
         limit = self._limits.get(upstream_id)
         if limit is not None:
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -43,7 +43,7 @@
 _BASELINE_SAMPLE_BOUND = 3.0
 # How long after its time a reserved permit may be used. An instance that was paused would otherwise
 # use all permits of its pause at once.
-RESERVATION_VALIDITY_MS = 200.0
+_RESERVATION_VALIDITY_MS = 200.0
 
 
 class Choice(NamedTuple):
@@ -176,7 +176,7 @@
     def may_use(self, reservation: Reservation, now_ms: float) -> bool:
         """Return whether a reservation is still valid and its upstream can take a request."""
         upstream = reservation.upstream
-        if now_ms - reservation.at_ms > RESERVATION_VALIDITY_MS:
+        if now_ms - reservation.at_ms > _RESERVATION_VALIDITY_MS:
             return False
         # Its entry may have changed meanwhile, but not its address.
         available = self._registry.list_available(upstream.service)
@@ -255,7 +255,7 @@
     def record_sent(
         self, upstream: Upstream, call_id: int, now_ms: float, is_reserved: bool = False
     ) -> None:
-        """Record that a call was sent and is open; it takes a permit unless one `is_reserved`."""
+        """Record an open call that was sent; it consumes a permit unless one `is_reserved`."""
         self._call_count += 1
         if not is_reserved:
             self._rate_limits.take_permit(upstream.id, now_ms)
