--- a/review/common/world.py
+++ b/review/common/world.py
@@ -319,6 +319,10 @@
         self._waiting = 0
         self._free = asyncio.Semaphore(slots)
         self._sequence = itertools.count(1)
+        self._born = 0
+
+    async def start(self) -> None:
+        await super().start()
         self._born = int(time.time() * 1_000)
 
     def make_entry(self) -> dict:
