Stop accepting requests at a fixed time of a planned stop

Cause: the listening socket was closed only once no request was in progress, and the wait for that had no other end than 0.8 s before the end of the grace period. One long request, or a load under which some request is always in progress, kept the instance accepting until then. What it had accepted last was cut.

Ruled out: kept connections (each request of the case opens a new one), the upstream (its record shows it at work), SIGKILL (the process ended by itself 5.39 s after SIGTERM).

Change: `policy/stopping` schedules a stop from the grace period and the TTL of the addresses. Requests are accepted for 1.5 TTLs, and for less than half of the grace period. Then the listening socket is closed, and requests that arrive on open connections are refused as not run. The directory answers until the end. The line `stopping` has the schedule, the line `stopped` the number of requests that were still unanswered; cut requests had no trace before.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -36,16 +36,13 @@
 from .policy.registry import Registry
 from .policy.selection import Selector
 from .policy.slowstart import ColdLimits, SlowStart
+from .policy.stopping import schedule_stop
 from .randomness import RandomSource
 from .sharedstate import SharedState, StateDecoder
 from .statestore import StateStore
 
 # Interval of the check for overdue connections and expired entries.
 MAINTENANCE_INTERVAL_MS = 250.0
-# The end of the stop's grace period that is reserved for closing connections and exiting.
-STOP_RESERVE_MS = 800.0
-# Callers with an older list of addresses go on connecting for up to this multiple of its TTL.
-ADDRESS_TTL_FACTOR = 1.5
 # Bounds of the retry time in refusals while no configuration is loaded. The retry time is how long
 # the instance has waited for one: a start takes some hundred ms, and an outage of the store is
 # expected to last as long again as it has lasted.
@@ -149,10 +146,13 @@
         self._log = log
         self._codec = caller_codec
         self._is_leaving = False
+        # False once a stop has reached the point from which requests are refused.
+        self._accepts_requests = True
         self._started_ms = clock.now_ms()
         self._rotations: dict[tuple[str, tuple[WeightedService, ...]], WeightedRotation] = {}
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[asyncio.Server] = []
+        self._caller_server: asyncio.Server | None = None
         self.counts = Counts()
         self.connections = Connections()
         own = Member(
@@ -225,8 +225,9 @@
         """Listen and start following the store; raise OSError if an address can't be used."""
         settings = self._settings
         asyncio.get_running_loop().set_exception_handler(self._handle_loop_error)
+        if settings.callers_address is not None:
+            self._caller_server = await self._listen(settings.callers_address, RequestService(self))
         for address, service in (
-            (settings.callers_address, RequestService(self)),
             (settings.ready_address, StatusService(self)),
             (settings.directory_address, DirectoryService(self)),
         ):
@@ -243,37 +244,50 @@
     async def stop(self) -> None:
         """Stop gracefully within the grace period.
 
-        Remove the instance from the list of instances, serve until no request is in progress, then
-        close all connections.
+        Remove the instance from the list of instances and serve until callers have switched to
+        others. Then stop listening, refuse requests that still arrive, and wait until all requests
+        in progress are answered, until shortly before the end of the grace period.
         """
         started_ms = self._clock.now_ms()
+        schedule = schedule_stop(
+            started_ms, self._settings.grace_ms, 1_000 * self._settings.address_ttl_s
+        )
         self._is_leaving = True
-        self._log.write(Event.STOPPING, "gateway", busy=self.connections.count_busy())
+        self._log.write(
+            Event.STOPPING,
+            "gateway",
+            busy=self.connections.count_busy(),
+            accept_ms=round(schedule.accept_until_ms - started_ms),
+            answer_ms=round(schedule.answer_until_ms - started_ms),
+        )
         self._start_task(self._store_follower.leave())
         self.connections.is_closing = True
-        end_ms = started_ms + self._settings.grace_ms - STOP_RESERVE_MS
-        linger_until_ms = started_ms + min(
-            ADDRESS_TTL_FACTOR * 1_000 * self._settings.address_ttl_s, self._settings.grace_ms / 2
-        )
-        await self._wait_for_callers(linger_until_ms, end_ms)
-        for server in self._servers:
-            server.close()
+        await asyncio.sleep((schedule.accept_until_ms - started_ms) / 1_000)
+        self._accepts_requests = False
+        if self._caller_server is not None:
+            self._caller_server.close()
         self.connections.close_idle()
-        await self._wait_for_callers(0.0, end_ms)
+        await self._wait_for_callers(schedule.answer_until_ms)
+        unanswered = self.connections.count_busy()
         await asyncio.sleep(FINAL_WRITE_MS / 1_000)
+        for server in self._servers:
+            server.close()
         for task in self._tasks:
             task.cancel()
         await self._store_follower.stop()
         self._peering.close()
         self._pool.close()
-        self._log.write(Event.STOPPED, "gateway", took_ms=round(self._clock.now_ms() - started_ms))
+        self._log.write(
+            Event.STOPPED,
+            "gateway",
+            took_ms=round(self._clock.now_ms() - started_ms),
+            unanswered=unanswered,
+        )
         self._log.flush()
 
-    async def _wait_for_callers(self, from_ms: float, end_ms: float) -> None:
-        """Wait until no request is in progress at or after `from_ms`, at most until `end_ms`."""
-        while (now_ms := self._clock.now_ms()) < end_ms:
-            if now_ms >= from_ms and not self.connections.count_busy():
-                return
+    async def _wait_for_callers(self, end_ms: float) -> None:
+        """Wait until no request is in progress, at most until `end_ms`."""
+        while self._clock.now_ms() < end_ms and self.connections.count_busy():
             await self.connections.wait_for_close(STOP_CHECK_MS)
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -302,6 +316,11 @@
                 connection, caller_request.id, HttpAnswer(404, (), b"no such route"), "no_route"
             )
             return None
+        if not self._accepts_requests:
+            # Any other instance can serve the request at once.
+            answer = self._codec.make_refusal("stopping", 0.0)
+            self._deny(connection, caller_request.id, answer, "stopping")
+            return None
         round_trip_ms = connection.estimate_round_trip_ms()
         deadline_ms = caller_request.deadline_ms or route.timeout_ms
         routed = RoutedRequest(
