Wait for uploads and unwritten answers before a planned stop ends

Callers saw: nothing reported.

Cause: a stop waited for requests in progress only. A request whose body was still arriving was cut, or passed on within the last 50 ms and cut then; an answer that a slow reader had not taken was cut after 50 ms. Connections that were accepted just before the listening socket was closed were not closed as idle.

Change: after the listening socket is closed, idle connections are closed at intervals until no connection is open, at most until the end of the schedule.

Result: `test_request_that_is_read_late_in_a_stop_is_refused_as_not_run` and `test_large_answer_is_written_whole_before_the_process_ends` failed before: the stop had ended.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -57,8 +57,8 @@
 WATCH_INTERVAL_SHARE = 0.3
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
-# On a stop: the interval of the check whether requests are in progress, and the time for writing
-# the last answer.
+# On a stop: the interval of the check for connections that have become idle, and the time for
+# writing the last answer.
 STOP_CHECK_MS = 50.0
 FINAL_WRITE_MS = 50.0
 
@@ -246,7 +246,8 @@
 
         Remove the instance from the list of instances and serve until callers have switched to
         others. Then stop listening, refuse requests that still arrive, and wait until all requests
-        in progress are answered, until shortly before the end of the grace period.
+        in progress are answered and their answers are written, until shortly before the end of the
+        grace period.
         """
         started_ms = self._clock.now_ms()
         schedule = schedule_stop(
@@ -266,8 +267,7 @@
         self._accepts_requests = False
         if self._caller_server is not None:
             self._caller_server.close()
-        self.connections.close_idle()
-        await self._wait_for_callers(schedule.answer_until_ms)
+        await self._close_callers(schedule.answer_until_ms)
         unanswered = self.connections.count_busy()
         await asyncio.sleep(FINAL_WRITE_MS / 1_000)
         for server in self._servers:
@@ -285,9 +285,15 @@
         )
         self._log.flush()
 
-    async def _wait_for_callers(self, end_ms: float) -> None:
-        """Wait until no request is in progress, at most until `end_ms`."""
-        while self._clock.now_ms() < end_ms and self.connections.count_busy():
+    async def _close_callers(self, end_ms: float) -> None:
+        """Close callers' connections as they become idle, until none is open or `end_ms`.
+
+        A connection with an answer that is not yet written counts as open.
+        """
+        while True:
+            self.connections.close_idle()
+            if not len(self.connections) or self._clock.now_ms() >= end_ms:
+                return
             await self.connections.wait_for_close(STOP_CHECK_MS)
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from platformworld import Request
 from test_gateway import (
     FANOUT_ROUTE,
     SINGLE_ROUTE,
@@ -27,6 +28,18 @@
     return stop
 
 
+async def wait_until_not_listening(setup: GatewaySetup) -> None:
+    """Wait until the instance accepts no connection; raise TimeoutError after 20 s."""
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                caller = await setup.connect()
+            except OSError:
+                return
+            caller.close()
+            await asyncio.sleep(0.01)
+
+
 @pytest.mark.parametrize("grace_ms", [1_000.0, 6_000.0, 30_000.0])
 @pytest.mark.parametrize("address_ttl_ms", [100.0, 2_000.0, 60_000.0])
 def test_requests_are_accepted_for_half_of_the_grace_period_at_most(grace_ms, address_ttl_ms):
@@ -73,3 +86,55 @@
         assert [attempt for attempt in attempts if answers[attempt] != 200] == []
 
     run_scenario(scenario, ROUTES)
+
+
+def test_request_that_is_read_late_in_a_stop_is_refused_as_not_run():
+    """Guards against an upload that is cut when it ends just as the instance stops."""
+
+    async def scenario(setup):
+        caller = await setup.connect()
+        headers = ["Content-Length: 10", "Expect: 100-continue"]
+        caller.send(method="POST", path="/u/x", headers=headers)
+        # The instance has read the head once it asks for the body.
+        await caller.reader.readuntil(b"\r\n\r\n")
+        caller.writer.write(b"order")
+        stop = await start_stop(setup, 20_000.0)
+        await wait_until_not_listening(setup)
+        await asyncio.wait({stop}, timeout=0.5)
+        assert not stop.done()
+        caller.writer.write(b"-rest")
+        status, headers, _ = await caller.read()
+        assert status == 503 and "retry-after" in headers and headers["connection"] == "close"
+        await stop
+        assert not list_executed(setup)
+
+    run_scenario(scenario, ROUTES)
+
+
+def test_large_answer_is_written_whole_before_the_process_ends():
+    """Guards against an answer that is cut because its caller reads it slowly during a stop."""
+    size = 8 * 1024 * 1024
+
+    async def scenario(setup):
+        def answer(request: Request, connection) -> bool:
+            connection.reply(200, setup.platform.upstreams["c"].make_headers(request), b"x" * size)
+            return True
+
+        for upstream in setup.platform.upstreams.values():
+            upstream.answer = answer
+        caller = await setup.connect()
+        caller.send()
+        # The answer is larger than the buffers of the connection, and not read yet.
+        await setup.wait_until(lambda: ("requests", "answered") in setup.gateway.counts.values)
+        stop = await start_stop(setup, 20_000.0)
+        await wait_until_not_listening(setup)
+        await asyncio.wait({stop}, timeout=0.5)
+        assert not stop.done()
+        async with asyncio.timeout(20):
+            received = b""
+            while chunk := await caller.reader.read(1 << 20):
+                received += chunk
+        assert received.endswith(b"x" * size)
+        await stop
+
+    run_scenario(scenario, ROUTES)
