Answer the requests in progress at the end of a planned stop

Cause: a stop ended by closing the connections. The outcome of the requests in progress was neither decided nor logged.

Change: near the end of the grace period each exchange is concluded: a query with the minimum coverage is answered with its parts, a request that was not sent is refused as not run, any other fails without a promise (504). Each has its line `request_ended`; `stopped` has their number.

--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -120,6 +120,11 @@
         """Send the first calls."""
         self._apply(self.exchange.start(self._clock.now_ms()))
 
+    def conclude(self) -> None:
+        """Deliver the outcome without waiting for further replies, unless it was delivered."""
+        self.exchange.conclude(self._clock.now_ms())
+        self._deliver_outcome()
+
     def abandon(self) -> None:
         """Cancel all calls without delivering an outcome; the caller has left."""
         self._deliver = None
@@ -270,3 +275,8 @@
         runner = ExchangeRunner(self, request, deliver)
         self.runners.add(runner)
         return runner
+
+    def conclude_all(self) -> None:
+        """Deliver the outcomes of all exchanges without waiting for further replies."""
+        for runner in list(self.runners):
+            runner.conclude()
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -58,9 +58,9 @@
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
 # On a stop: the interval of the check for connections that have become idle, and the time for
-# writing the last answer.
+# writing the last answers.
 STOP_CHECK_MS = 50.0
-FINAL_WRITE_MS = 50.0
+FINAL_WRITE_MS = 200.0
 
 
 class GatewaySettings(NamedTuple):
@@ -246,8 +246,8 @@
 
         Remove the instance from the list of instances and serve until callers have switched to
         others. Then stop listening, refuse requests that still arrive, and wait until all requests
-        in progress are answered and their answers are written, until shortly before the end of the
-        grace period.
+        in progress are answered. Near the end of the grace period, answer the rest without waiting
+        for their upstreams.
         """
         started_ms = self._clock.now_ms()
         schedule = schedule_stop(
@@ -269,7 +269,8 @@
             self._caller_server.close()
         await self._close_callers(schedule.answer_until_ms)
         unanswered = self.connections.count_busy()
-        await asyncio.sleep(FINAL_WRITE_MS / 1_000)
+        self._forwarder.conclude_all()
+        await self._close_callers(self._clock.now_ms() + FINAL_WRITE_MS)
         for server in self._servers:
             server.close()
         for task in self._tasks:
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -273,6 +273,11 @@
                 due_ms = min(due_ms, max(part_due_ms, now_ms + MIN_TIMER_DELAY_MS))
         return due_ms
 
+    def conclude(self, now_ms: float) -> None:
+        """Decide the outcome from the replies so far: the instance stops before the deadline."""
+        self.deadline_ms = min(self.deadline_ms, now_ms)
+        self._update_outcome(now_ms)
+
     def cancel_unsent(self, now_ms: float) -> list[Action]:
         """Cancel the calls that have not been sent, since the request has an outcome.
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -355,3 +355,32 @@
     assert isinstance(exchange.outcome, Refused)
     assert not [action for action in actions if isinstance(action, Send)]
     assert not [call for call in exchange.open_calls if call is not first.call]
+
+
+@pytest.mark.parametrize(
+    ("call_end", "expected"),
+    [(None, Failed), (fail(FailureKind.UNREACHABLE, 500.0), Refused)],
+    ids=["sent", "not sent"],
+)
+def test_concluded_unsafe_request_is_refused_only_if_it_was_not_sent(call_end, expected):
+    """Guards against an untrue "not run" from an instance that stops during a call."""
+    simulation = ExchangeSimulation(PAIR, lambda call, now_ms: call_end)
+    exchange = simulation.start(make_single_route(is_idempotent=False))
+    exchange.conclude(simulation.now_ms)
+    assert isinstance(exchange.outcome, expected)
+    assert len(exchange.cancel_unsent(simulation.now_ms)) == (expected is Refused)
+
+
+@pytest.mark.parametrize(("min_coverage", "expected"), [(0.5, Answered), (0.6, Failed)])
+def test_concluded_query_is_answered_only_with_the_minimum_coverage(min_coverage, expected):
+    """Guards against a partial answer below the minimum, or a cut where parts would suffice."""
+
+    def plan_reply(call, now_ms):
+        return succeed() if call.upstream.service == "s0" else None
+
+    simulation = ExchangeSimulation(SHARDS, plan_reply)
+    exchange = simulation.start(make_route(min_coverage=min_coverage))
+    while not exchange.answered_parts:
+        simulation.step(exchange)
+    exchange.conclude(simulation.now_ms)
+    assert isinstance(exchange.outcome, expected)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -18,6 +18,8 @@
 # Routes without a timeout or an objective that would end their requests during a stop.
 PATIENT = {"timeout_ms": 60_000, "target_latency_ms": 60_000}
 ROUTES = (SINGLE_ROUTE | PATIENT, UNSAFE_ROUTE | PATIENT, FANOUT_ROUTE | PATIENT)
+# Longer than any stop in these tests.
+ENDLESS_MS = 60_000.0
 
 
 async def start_stop(setup: GatewaySetup, grace_ms: float) -> asyncio.Task:
@@ -111,6 +113,35 @@
     run_scenario(scenario, ROUTES)
 
 
+def test_requests_still_in_progress_at_the_end_of_a_stop_are_answered():
+    """Guards against callers whose connections end without an answer: the brief allows no cut.
+
+    A query gets the parts that are there; a request that may have run gets no promise.
+    """
+
+    async def scenario(setup):
+        setup.platform.upstreams["c"].processing_ms = ENDLESS_MS
+        query = await setup.connect()
+        query.send(path="/q/x", attempt="t1", deadline=60_000)
+        await setup.wait_until(lambda: len(list_executed(setup)) == 2)
+        for upstream in setup.platform.upstreams.values():
+            upstream.processing_ms = ENDLESS_MS
+        order = await setup.connect()
+        order.send(method="POST", path="/u/x", body=b"order", attempt="t2", deadline=60_000)
+        await setup.wait_until(lambda: len(list_executed(setup)) == 3)
+        stop = await start_stop(setup, 1_500.0)
+        status, headers, body = await query.read()
+        assert (status, headers["citronpaddle-missing-parts"]) == (200, "1")
+        assert body == b"".join(number.to_bytes(16, "big") for number in (9, 1))
+        status, headers, _ = await order.read()
+        assert status == 504 and "retry-after" not in headers
+        await stop
+        (stopped,) = setup.list_logged("stopped")
+        assert stopped["unanswered"] == 2
+
+    run_scenario(scenario, ROUTES)
+
+
 def test_large_answer_is_written_whole_before_the_process_ends():
     """Guards against an answer that is cut because its caller reads it slowly during a stop."""
     size = 8 * 1024 * 1024
