Refuse odd entries of upstreams without stopping the others

Callers saw: as reported by other operators, one odd entry among those of the upstreams stopped all instances from following the list; requests went on to upstreams that were leaving or gone.

Cause: numbers over the range of a float (`warmup_left_ms` of 1e999 or of 400 digits) and ports with digits of other scripts (`808²`) raised an error that is no DocumentError. It ended the application of all changes after it, again after each restart of the task. Entries with a host name, a null character or an id that is no ASCII were listed, and each call to them raised an error.

Ruled out: deep nesting, integers too long to read, ports out of range, invalid UTF-8, an empty value and duplicate keys were refused before; tests now keep it so.

Change: ids, addresses and numbers are checked when an entry is decoded. Addresses are parsed in one place, `adapters/addresses`; the settings file and the addresses of other instances had the same fault. An unexpected error in one change is logged (`change_refused`) and affects that change alone.

--- a/citronpaddle/adapters/connections.py
+++ b/citronpaddle/adapters/connections.py
@@ -5,6 +5,7 @@
 
 from ..clock import Clock
 from ..policy.buffers import ReceiveBudget, ReceiveLimits
+from .addresses import Address
 from .httpclient import HttpConnection, HttpFailure, HttpResponse, ResponseSink
 
 # Idle connections kept per upstream. The connections of all instances together must stay within the
@@ -18,8 +19,6 @@
     response_bytes=16 * 1024 * 1024, total_bytes=32 * 1024 * 1024
 )
 
-Address = tuple[str, int]
-
 
 class Dispatch:
     """One request sent to an upstream; `cancel` stops it at any stage."""
--- a/citronpaddle/adapters/eventlog.py
+++ b/citronpaddle/adapters/eventlog.py
@@ -37,6 +37,7 @@
     CONFIGURATION_REFUSED = "configuration_refused"
     UPSTREAM_LISTED = "upstream_listed"
     UPSTREAM_GONE = "upstream_gone"
+    CHANGE_REFUSED = "change_refused"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_LIMITED = "upstream_limited"
     DOMAINS_OUT = "domains_out"
--- a/citronpaddle/adapters/hintchannel.py
+++ b/citronpaddle/adapters/hintchannel.py
@@ -12,7 +12,7 @@
 from ..policy.feed import FeedBatch
 from ..policy.hints import LIMIT_KINDS, Hint, HintKind
 from ..statestore import StoreItem
-from .connections import Address
+from .addresses import Address
 
 # Instances send no larger datagram; larger ones are refused.
 MAX_DATAGRAM_BYTES = 8_192
--- a/citronpaddle/adapters/peers.py
+++ b/citronpaddle/adapters/peers.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..errors import ErrorKind, Failure
+from .addresses import parse_address
 from .frames import FrameError, FrameKind, encode_frame, protocol, read_frame
 from .links import DirectLinks, Links
 
@@ -25,14 +26,6 @@
 _CONNECTION_LOST = Failure(ErrorKind.OUTCOME_UNKNOWN, "the connection to the peer was lost")
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of `host:port`; raise ValueError if the form differs."""
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"{address!r} is not host:port")
-    return host, int(port)
-
-
 class Replier(ABC):
     """Sends the replies to one request frame."""
 
--- a/citronpaddle/adapters/upstreams.py
+++ b/citronpaddle/adapters/upstreams.py
@@ -12,7 +12,8 @@
 from ..errors import ErrorKind, Failure
 from ..models import KeyRange, ShardInfo, SubReply, SubRequest
 from ..ports import OrderCall, OrderReply, UpstreamReport, UpstreamTransport
-from .connections import Address, ConnectionPool
+from .addresses import Address
+from .connections import ConnectionPool
 from .httpclient import HttpResponse
 
 # Subtracted from the upstream's connection limit, so that an unresponsive connection can be
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from .adapters.connections import Address, ConnectionPool
+from .adapters.addresses import Address, join_address
+from .adapters.connections import ConnectionPool
 from .adapters.counts import Counts, render
 from .adapters.eventlog import Event, EventLog
 from .adapters.httpserver import (
@@ -25,7 +26,7 @@
 from .clock import Clock
 from .fleet import StoreFollower
 from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
-from .peering import Peering, join_address
+from .peering import Peering
 from .policy.calls import Answered, Outcome
 from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
 from .policy.exchange import ExchangeDependencies
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from .adapters.connections import Address
+from .adapters.addresses import Address, parse_address
 from .adapters.eventlog import Event, EventLog
 from .adapters.hintchannel import HintChannel, PeerMessage, encode
 from .clock import Clock
@@ -170,16 +170,10 @@
         self._log.write(Event.HINTS_REFUSED, "peering", reason=reason)
 
 
-def join_address(address: Address | None) -> str:
-    """Return `host:port`, or an empty string for no address."""
-    return f"{address[0]}:{address[1]}" if address else ""
-
-
 def _list_hints_addresses(members: Iterable[Member], own: Member) -> list[Address]:
     """Return the addresses at which the members other than `own` receive hints."""
     addresses: list[Address] = []
     for member in members:
-        host, _, port = member.hints_address.rpartition(":")
-        if member.name != own.name and host and port.isdigit():
-            addresses.append((host, int(port)))
+        if member.name != own.name and member.hints_address:
+            addresses.append(parse_address(member.hints_address))
     return addresses
--- a/citronpaddle/platform/documents.py
+++ b/citronpaddle/platform/documents.py
@@ -1,15 +1,22 @@
 """Decodes the operator's documents and the upstreams' entries in the platform's store."""
 
 import json
+import re
+from ipaddress import IPv4Address
 from typing import Any
 
+from ..adapters.addresses import Address, parse_address
 from ..policy.catalog import CallerLimits, Catalog, Route, ServiceLimits, WeightedService
 from ..policy.registry import Upstream
 
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 UPSTREAM_PREFIX = "servers/"
-PORT_LIMIT = 65_536
+# Times are added to numbers of the documents; the sum of a larger one is inexact or overflows.
+MAX_NUMBER = 2**53
+# Ids are sent in a header field and in messages between instances.
+_UPSTREAM_ID = re.compile(r"[\x21-\x7e]{1,200}")
+_UPSTREAM_STATES = ("ready", "draining")
 
 
 class DocumentError(ValueError):
@@ -80,13 +87,13 @@
 
 def decode_upstream(upstream_id: str, value: bytes, now_ms: float) -> Upstream:
     """Return a listed upstream; raise DocumentError if the entry is invalid."""
+    if not _UPSTREAM_ID.fullmatch(upstream_id):
+        raise DocumentError("the id has characters other than printable ASCII, or is too long")
     entry = _parse_object(value)
-    host, _, port = _require_field(entry, "address", str).rpartition(":")
+    host, port = _decode_address(_require_field(entry, "address", str))
     state = _require_field(entry, "state", str)
-    if state not in ("ready", "draining"):
-        raise DocumentError(f"state {state!r} is not known")
-    if not host or not port.isdigit() or not 0 < int(port) < PORT_LIMIT:
-        raise DocumentError("address is not host:port")
+    if state not in _UPSTREAM_STATES:
+        raise DocumentError("the state is not known")
     _require_field(entry, "version", str)
     slots = _require_field(entry, "slots", int)
     cold_left_ms = _require_field(entry, "warmup_left_ms", (int, float))
@@ -94,7 +101,7 @@
         upstream_id,
         _require_field(entry, "service", str),
         host,
-        int(port),
+        port,
         _require_field(entry, "zone", str),
         slots,
         state == "draining",
@@ -105,6 +112,16 @@
     )
 
 
+def _decode_address(text: str) -> Address:
+    try:
+        address = parse_address(text)
+        # A name would be looked up at every call, and some names raise errors then.
+        IPv4Address(address[0])
+    except ValueError as error:
+        raise DocumentError("the address is not ip:port") from error
+    return address
+
+
 def decode_evacuation(key: str) -> str:
     """Return the failure domain that the key takes out of service."""
     return key[len(EVACUATION_PREFIX) :]
@@ -124,4 +141,7 @@
     value = item.get(name) if isinstance(item, dict) else None
     if not isinstance(value, expected_type) or isinstance(value, bool):
         raise DocumentError(f"field {name} is missing or of the wrong type")
+    # The comparison is also false for NaN.
+    if isinstance(value, int | float) and not abs(value) < MAX_NUMBER:
+        raise DocumentError(f"field {name} is out of range")
     return value
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -3,13 +3,13 @@
 import tomllib
 from typing import Any
 
+from ..adapters.addresses import parse_address
 from ..gateway import GatewaySettings
 from ..policy.extraload import ExtraLoadLimits
 from ..policy.slowstart import ColdLimits
 
 # Upper limit of the time for which callers may keep a list of addresses.
 MAX_ADDRESS_TTL_S = 2.0
-PORT_LIMIT = 65_536
 
 
 class PlatformSettingsError(ValueError):
@@ -73,10 +73,10 @@
 def _read_address(table: dict[str, Any], name: str) -> tuple[str, int] | None:
     if name not in table:
         return None
-    host, _, port = _require_field(table, name, str).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < PORT_LIMIT:
-        raise PlatformSettingsError(f"{name} must be host:port")
-    return host, int(port)
+    try:
+        return parse_address(_require_field(table, name, str))
+    except ValueError as error:
+        raise PlatformSettingsError(f"{name} must be host:port") from error
 
 
 def _require_field(table: dict[str, Any], name: str, expected_type: type) -> Any:
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -5,7 +5,8 @@
 from typing import Any
 from urllib.parse import quote
 
-from ..adapters.connections import Address, ConnectionPool
+from ..adapters.addresses import Address
+from ..adapters.connections import ConnectionPool
 from ..adapters.httpclient import HttpFailure, HttpResponse
 from ..statestore import (
     HistoryLost,
--- a/citronpaddle/sharedstate.py
+++ b/citronpaddle/sharedstate.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .adapters.addresses import parse_address
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
 from .policy.catalog import Catalog
@@ -14,6 +15,9 @@
 from .statestore import StoreItem, StoreView
 
 MEMBER_PREFIX = "citronpaddle/instances/"
+# Characters of an error that are logged; it may quote the document.
+MAX_REASON_LENGTH = 200
+MAX_CORES = 10_000.0
 
 
 class StateDecoder(ABC):
@@ -114,9 +118,25 @@
         self._on_change()
 
     def _apply_item(self, item: StoreItem) -> None:
-        """Apply one change, unless a newer one of its key has been applied."""
+        """Apply one change, unless a newer one of its key has been applied.
+
+        An unexpected error is logged and affects this change alone: without that it would stop all
+        changes that follow it, again after each restart of the task that reads them.
+        """
         if item.revision < self._revisions.get(item.key, 0):
             return
+        try:
+            self._apply_newer_item(item)
+        except Exception as error:
+            self._log.write(
+                Event.CHANGE_REFUSED,
+                "fleet",
+                key=item.key,
+                revision=item.revision,
+                reason=repr(error)[:MAX_REASON_LENGTH],
+            )
+
+    def _apply_newer_item(self, item: StoreItem) -> None:
         if item.value is None:
             self._revisions.pop(item.key, None)
             if self._removed_while_reading is not None:
@@ -208,14 +228,7 @@
             if name == members.own.name:
                 self._on_own_entry_removed()
         else:
-            try:
-                entry = json.loads(value)
-                address, domain = str(entry["address"]), str(entry["domain"])
-                hints, cores = str(entry.get("hints", "")), float(entry.get("cores", 1.0))
-                members.put(Member(name, address, domain, hints, cores), now_ms)
-            except (ValueError, KeyError, TypeError) as error:
-                self._log.write(Event.INTERNAL_ERROR, "fleet", reason=f"entry of {name}: {error!r}")
-                return
+            members.put(_decode_member(name, value), now_ms)
         self._log.write(
             Event.INSTANCES_CHANGED, "fleet", name=name, listed=len(members.list_names())
         )
@@ -228,6 +241,18 @@
         self._state.members.expire(now_ms)
 
 
+def _decode_member(name: str, value: bytes) -> Member:
+    """Return an instance; raise ValueError, KeyError, TypeError or RecursionError if invalid."""
+    entry = json.loads(value)
+    hints = str(entry.get("hints", ""))
+    if hints:
+        parse_address(hints)
+    cores = float(entry.get("cores", 1.0))
+    if not 0.0 < cores < MAX_CORES:
+        raise ValueError("the cores are out of range")
+    return Member(name, str(entry["address"]), str(entry["domain"]), hints, cores)
+
+
 def _is_unchanged(known: Upstream | None, decoded: Upstream) -> bool:
     """Return whether an entry changes nothing but how long its upstream stays cold."""
     return known is not None and known == decoded._replace(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 import os
 from collections.abc import Awaitable, Callable
 
+import pytest
 from fakestore import FakeStore
 
 from citronpaddle.adapters.eventlog import EventLog
@@ -377,6 +378,95 @@
     run_scenario(scenario)
 
 
+ODD_ENTRIES = {
+    "deeply nested": b'{"x":' * 100_000 + b"1" + b"}" * 100_000,
+    "huge integer": make_entry(warmup_left_ms=10**400),
+    "integer too long to read": make_entry(slots=0).replace(
+        b'"slots": 0', b'"slots": ' + b"9" * 5_000
+    ),
+    "huge slots": make_entry(slots=10**400),
+    "infinite number": make_entry(warmup_left_ms=float("inf")),
+    "number that reads as infinite": make_entry(warmup_left_ms=0).replace(b": 0", b": 1e999"),
+    "not a number": make_entry(warmup_left_ms=float("nan")),
+    "huge start time": make_entry(born=10**40),
+    "port out of range": make_entry(address="127.0.0.1:65536"),
+    "port zero": make_entry(address="127.0.0.1:0"),
+    "negative port": make_entry(address="127.0.0.1:-1"),
+    "port with a superscript": make_entry(address="127.0.0.1:808\u00b2"),
+    "host name": make_entry(address="localhost:80"),
+    "host name that can't be encoded": make_entry(address="a" * 70 + ":80"),
+    "null in the address": make_entry(address="127.0.0.1\0:80"),
+    "lone surrogate in the address": make_entry(address="\ud800:80"),
+    "duplicate key": make_entry().replace(b'"slots": 2', b'"slots": 2, "slots": "2"'),
+    "empty": b"",
+}
+
+
+@pytest.mark.parametrize("is_known", [False, True], ids=["new", "replaced"])
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_an_odd_entry_affects_itself_alone(odd, is_known):
+    """Guards against an odd entry of another writer after which changes are not followed.
+
+    The changes that follow it, in the same watch answer and later, take effect; a new start reads
+    the list with it.
+    """
+
+    async def scenario(store, follower):
+        odd_id = "a" if is_known else "odd"
+        store.write("servers/leaving", make_entry())
+        await wait_until(lambda: "leaving" in follower.list_upstreams())
+        store.write(f"servers/{odd_id}", odd)
+        store.write("servers/z", make_entry())
+        await wait_until(lambda: "z" in follower.list_upstreams())
+        store.write("servers/leaving", make_entry(state="draining", sequence=2))
+        store.write("op/config", make_config(2))
+        await wait_until(lambda: follower.version == 2)
+        expected = ["z"] if is_known else ["a", "z"]
+        assert follower.list_upstreams() == expected
+        assert "upstream_refused" in follower.read_log()
+        assert "internal_error" not in follower.read_log()
+        follower = Follower(store, "i1")
+        follower.store_follower.start()
+        await wait_until(lambda: follower.version == 2)
+        await follower.store_follower.stop()
+        assert follower.list_upstreams() == expected
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("upstream_id", ["", "x\r\nX-Added: 1", "\u03bb", "\ud800", "x" * 201])
+def test_an_entry_with_an_odd_id_names_no_upstream(upstream_id):
+    """Guards against an id that can't be sent in a header field, or adds another one."""
+
+    async def scenario(store, follower):
+        store.write(f"servers/{upstream_id}", make_entry())
+        store.write("servers/z", make_entry())
+        await wait_until(lambda: "z" in follower.list_upstreams())
+        assert follower.list_upstreams() == ["a", "z"]
+
+    run_scenario(scenario)
+
+
+def test_an_unexpected_error_in_one_change_does_not_stop_the_others(monkeypatch):
+    """Guards against a change that is refused by an error, again after each restart."""
+
+    async def scenario(store, follower):
+        def fail(self, upstream_id, value, now_ms):
+            if upstream_id == "odd":
+                raise RuntimeError("unexpected")
+            return decode(self, upstream_id, value, now_ms)
+
+        decode = PlatformStateDecoder.decode_upstream
+        monkeypatch.setattr(PlatformStateDecoder, "decode_upstream", fail)
+        store.write("servers/odd", make_entry())
+        store.write("servers/z", make_entry())
+        await wait_until(lambda: "z" in follower.list_upstreams())
+        assert follower.list_upstreams() == ["a", "z"]
+        assert '"change_refused","key":"servers/odd"' in follower.read_log()
+
+    run_scenario(scenario)
+
+
 def test_unreadable_configuration_leaves_the_last_one_in_force():
     """Guards against 404 answers after a configuration that can't be decoded."""
 
