Play planned stops under a steady load in the soak

Callers saw: in runs of the users with real processes, requests around SIGTERM that were passed on and ended without an answer.

The soak missed it: its callers kept a list of addresses only for its TTL, and its requests took 12 ms, so that a stopping instance was idle within moments.

Change: every fourth caller keeps its list three times as long. With `--stops-only` all do, requests take up to 0.6 s, and the only fault is one instance after the other that is stopped and started.

A test that cuts a response within its head at each byte found nothing to fix in the client of upstreams.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,6 +19,8 @@
 # How long a caller waits for an answer beyond the deadline of its request.
 ANSWER_SLACK_MS = 500.0
 DIRECTORIES_PER_LOOKUP = 3
+# A patient caller keeps a list of addresses for so many times as long as the directory says.
+PATIENCE = 3
 MAX_BODY_BYTES = 600
 
 
@@ -32,8 +34,10 @@
         directory_ports: dict[str, int],
         history: History,
         random: Random,
+        is_patient: bool = False,
     ) -> None:
         self._name = name
+        self._patience = PATIENCE if is_patient else 1
         self._domain = domain
         self._directory_ports = directory_ports
         self._history = history
@@ -63,7 +67,7 @@
             answer = await self._query_directory(port)
             if answer is not None and answer.get("addrs"):
                 self._addresses = answer["addrs"]
-                self._addresses_expire_ms = now_ms() + 1_000.0 * answer["ttl_s"]
+                self._addresses_expire_ms = now_ms() + 1_000.0 * self._patience * answer["ttl_s"]
                 if self._address not in self._addresses:
                     self._close_connection()
                 return
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -79,6 +79,15 @@
         while self._running:
             await asyncio.wait(self._running)
 
+    async def run_stops(self, seconds: float) -> None:
+        """For `seconds`, stop and start one instance after the other, without any other fault."""
+        end_ms = now_ms() + 1_000.0 * seconds
+        while now_ms() < end_ms:
+            instance = self._draw_instance()
+            await self._stop_one(instance)
+            await instance.wait_until_ready()
+            await self._sleep(0.5, 1.0)
+
     def _handle_done(self, task: asyncio.Task) -> None:
         self._running.discard(task)
         if task.exception() is not None:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -10,12 +10,17 @@
 from .fleet import Fleet
 from .invariants import SETTLE_MS, Violation, find_violations
 from .records import Fault, History, now_ms
-from .standins import DOMAINS, SoakPlatform
+from .standins import DOMAINS, USUAL_CAPACITY, Capacity, SoakPlatform
 
 # Time with traffic before the first fault, and in the quiet period after the last one.
 LEAD_IN_S = 1.0
 QUIET_PERIOD_S = 3.0
 CALLER_COUNT = 12
+# The number of callers and the capacity of the upstreams in a run with stops only.
+STOPS_CALLER_COUNT = 36
+STOPS_CAPACITY = Capacity(slots=24, work_factor=50.0)
+# Every so many callers one is patient; in a run with stops only, all are.
+PATIENT_INTERVAL = 4
 # How often the soak checks its own event loop for a stall. A longer delay than the threshold counts
 # as a fault of every scope, since the stand-ins and callers of this process stall as well.
 STALL_CHECK_INTERVAL_S = 0.05
@@ -23,12 +28,18 @@
 
 
 class SoakPlan(NamedTuple):
-    """The seed, the length in seconds and the number of instances and shards of a run."""
+    """The seed, the length in seconds and the number of instances and shards of a run.
+
+    With `stops_only` there is no fault but instances that are stopped and started one after the
+    other, there are more callers, and each request takes a large part of its time-out: under such
+    a load an instance is never idle.
+    """
 
     seed: int
     seconds: float
     instances: int
     shards: int
+    stops_only: bool = False
 
 
 class SoakResult(NamedTuple):
@@ -59,7 +70,9 @@
     # Faults have a random source of their own, so that a seed always draws the same faults.
     random = Random(plan.seed)
     history = History()
-    platform = SoakPlatform(history, Random(f"upstreams {plan.seed}"), plan.shards)
+    capacity = STOPS_CAPACITY if plan.stops_only else USUAL_CAPACITY
+    upstream_random = Random(f"upstreams {plan.seed}")
+    platform = SoakPlatform(history, upstream_random, plan.shards, capacity)
     fleet = Fleet(plan.instances, folder, history)
     try:
         await _start(platform, fleet)
@@ -96,19 +109,21 @@
     directory_ports = {item.name: item.ports["directory"] for item in fleet.instances}
     instance_names = {f"127.0.0.1:{item.ports['callers']}": item.name for item in fleet.instances}
     tasks = [asyncio.create_task(_record_stalls(history))]
-    for number in range(CALLER_COUNT):
+    for number in range(STOPS_CALLER_COUNT if plan.stops_only else CALLER_COUNT):
         caller = Caller(
             f"c{plan.seed}x{number}",
             DOMAINS[number % len(DOMAINS)],
             directory_ports,
             history,
             Random(plan.seed * 1_000 + number),
+            is_patient=plan.stops_only or number % PATIENT_INTERVAL == 0,
         )
         caller.instances = instance_names
         tasks.append(asyncio.create_task(caller.run()))
     injector = FaultInjector(platform, fleet, history, random)
     await asyncio.sleep(LEAD_IN_S)
-    await injector.run(plan.seconds - LEAD_IN_S - QUIET_PERIOD_S)
+    inject = injector.run_stops if plan.stops_only else injector.run
+    await inject(plan.seconds - LEAD_IN_S - QUIET_PERIOD_S)
     quiet_from_ms = now_ms() + SETTLE_MS
     await asyncio.sleep(SETTLE_MS / 1_000 + QUIET_PERIOD_S)
     for task in tasks:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 from platformworld import (
     HttpStandIn,
@@ -31,10 +32,29 @@
 FAULT_SHARE = 0.4
 
 
+class Capacity(NamedTuple):
+    """The requests that an upstream runs at once, and how much longer than usual each one takes."""
+
+    slots: int = SLOTS
+    work_factor: float = 1.0
+
+
+# The capacity of an upstream with nothing else stated.
+USUAL_CAPACITY = Capacity()
+
+
 class SoakUpstream(UpstreamStandIn):
     """An upstream with slots and a queue; `mode` names its present fault, if it has one."""
 
-    def __init__(self, name: str, service: str, domain: str, history: History, random: Random):
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        history: History,
+        random: Random,
+        capacity: Capacity,
+    ) -> None:
         super().__init__(name, [random.getrandbits(100) for _ in range(4)])
         self.service = service
         self.domain = domain
@@ -43,7 +63,8 @@
         self.is_leaving = False
         self._history = history
         self._random = random
-        self._slots = asyncio.Semaphore(SLOTS)
+        self.capacity = capacity
+        self._slots = asyncio.Semaphore(capacity.slots)
         self._in_progress = 0
         self._count = 0
 
@@ -53,7 +74,7 @@
             return
         attempt = request.headers.get("citronpaddle-attempt-id", "")
         fault = self.mode if self._random.random() < FAULT_SHARE else ""
-        is_rejected = fault == "shed" or self._in_progress >= SLOTS + QUEUE_LENGTH
+        is_rejected = fault == "shed" or self._in_progress >= self.capacity.slots + QUEUE_LENGTH
         arrival = Arrival(
             attempt,
             self.id,
@@ -72,9 +93,9 @@
         self._in_progress += 1
         try:
             async with self._slots:
-                work_ms = self._random.uniform(MIN_WORK_MS, MAX_WORK_MS) * (
-                    SLOW_FACTOR if self.mode == "slow" else 1.0
-                )
+                work_ms = self._random.uniform(MIN_WORK_MS, MAX_WORK_MS)
+                work_ms *= self.capacity.work_factor
+                work_ms *= SLOW_FACTOR if self.mode == "slow" else 1.0
                 await asyncio.sleep(work_ms / 1_000)
         finally:
             self._in_progress -= 1
@@ -149,8 +170,16 @@
     Entries and configuration versions that are written are recorded in the history.
     """
 
-    def __init__(self, history: History, random: Random, shards: int) -> None:
+    def __init__(
+        self,
+        history: History,
+        random: Random,
+        shards: int,
+        capacity: Capacity = USUAL_CAPACITY,
+    ) -> None:
+        """Create the stand-ins; all upstreams have the same capacity."""
         super().__init__()
+        self._capacity = capacity
         self.store = SoakStore()
         self.history = history
         self.random = random
@@ -186,7 +215,7 @@
         if not name:
             self._last_number += 1
             name = f"{service}-{self._last_number}"
-        upstream = SoakUpstream(name, service, domain, self.history, self.random)
+        upstream = SoakUpstream(name, service, domain, self.history, self.random, self._capacity)
         await upstream.start()
         target = ("127.0.0.1", upstream.port)
         proxy = proxy or FaultProxy(target)
@@ -210,7 +239,7 @@
             upstream.service,
             address=f"127.0.0.1:{self.proxies[upstream.id].port}",
             zone=upstream.domain,
-            slots=SLOTS,
+            slots=upstream.capacity.slots,
             state="draining" if upstream.is_leaving else "ready",
             warmup_left_ms=cold_ms,
             born=upstream.started_at_ms,
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -62,10 +62,14 @@
 
 
 class ScriptedServer:
-    """A server that writes `script` in response to any request until the peer closes."""
+    """A server that writes `script` in response to any request until the peer closes.
 
-    def __init__(self, script: Callable[[], Iterator[bytes]]) -> None:
+    With `closes` it closes the connection after that.
+    """
+
+    def __init__(self, script: Callable[[], Iterator[bytes]], closes: bool = False) -> None:
         self._script = script
+        self._closes = closes
         self._server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
         self.open_count = 0
@@ -81,11 +85,12 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open_count += 1
         try:
-            await reader.read(1)
+            await reader.readuntil(b"\r\n\r\n")
             for piece in self._script():
                 writer.write(piece)
                 await writer.drain()
-            await reader.read()
+            if not self._closes:
+                await reader.read()
         except ConnectionError:
             return
         finally:
@@ -204,3 +209,29 @@
     budget.release("long")
     assert budget.total_bytes == 90
     assert budget.record("late", 10) is None
+
+
+HEADS = {
+    "with a length": b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\n",
+    "without a length": b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+    "in chunks": b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "after an interim one": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_response_that_ends_within_its_head_is_no_response(head):
+    """Guards against a 200 with an empty body made of a head that its upstream did not finish.
+
+    The connection is closed gracefully after each byte of the head but the last.
+    """
+
+    async def run() -> None:
+        for size in range(1, len(head)):
+            pool = ConnectionPool(SystemClock(), RECEIVE_LIMITS)
+            async with ScriptedServer(lambda part=head[:size]: iter([part]), True) as server:
+                result = await asyncio.wait_for(dispatch(pool, server.address), 20)
+                assert isinstance(result, HttpFailure), head[:size]
+                assert result.is_sent
+
+    asyncio.run(run())
