Remove an entry that is written while its instance leaves

Callers saw: nothing reported; found while reading the paths by which callers reach a stopping instance.

Cause: an instance that got SIGTERM while it wrote its entry in the list of instances ended only the lease that it had before. The new entry stayed until its lease ran out, up to 4 s, and callers were sent to an instance that stops.

Change: the task that writes the entry ends its lease when the instance leaves.

Result: `test_entry_that_is_being_written_is_removed_when_the_instance_leaves` failed before.

--- a/citronpaddle/registration.py
+++ b/citronpaddle/registration.py
@@ -34,9 +34,7 @@
         """Remove this instance from the list of instances by one call, without a retry."""
         self._is_leaving = True
         self._own_entry_lost.set()
-        lease, self._lease = self._lease, None
-        if lease is not None:
-            await self._store.end_lease(lease)
+        await self._end_lease()
 
     def handle_entry_removed(self) -> None:
         """Write the entry again, since it was removed."""
@@ -55,7 +53,7 @@
                 retry_ms = await self._availability.pause(failure, retry_ms)
                 continue
             retry_ms = self._times.first_retry_ms
-            if self._lease is None:
+            if self._lease is None or self._is_leaving:
                 continue
             self._availability.handle_answer()
             self._own_entry_lost.clear()
@@ -64,6 +62,13 @@
                     await self._own_entry_lost.wait()
             except TimeoutError:
                 continue
+        # The entry may have been written while the instance left.
+        await self._end_lease()
+
+    async def _end_lease(self) -> None:
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            await self._store.end_lease(lease)
 
     async def _write_own_entry(self) -> StoreFailure | None:
         lease = await self._store.grant_lease(self._times.lease_ms)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -378,6 +378,32 @@
     run_scenario(scenario)
 
 
+def test_entry_that_is_being_written_is_removed_when_the_instance_leaves():
+    """Guards against callers who are sent to an instance that is stopped during its start."""
+
+    async def run() -> None:
+        store = FakeStore()
+        put_called, put_allowed = asyncio.Event(), asyncio.Event()
+        put = store.put
+
+        async def put_late(*arguments):
+            put_called.set()
+            await put_allowed.wait()
+            return await put(*arguments)
+
+        store.put = put_late
+        follower = Follower(store)
+        follower.store_follower.start()
+        await asyncio.wait_for(put_called.wait(), 20)
+        await follower.store_follower.leave()
+        put_allowed.set()
+        await wait_until(lambda: "end_lease" in store.log)
+        await follower.store_follower.stop()
+        assert f"{MEMBER_PREFIX}i0" not in store.items
+
+    asyncio.run(run())
+
+
 ODD_ENTRIES = {
     "deeply nested": b'{"x":' * 100_000 + b"1" + b"}" * 100_000,
     "huge integer": make_entry(warmup_left_ms=10**400),
