Split the codec and the log of callers' requests from the gateway

Change: `callercodec` has the interface to the platform's format, `requestlog` the lines and counts of requests; the gateway finds a route or a denial, then starts the exchange. Result: no change of behaviour; test_gateway, test_stopping and test_platform pass.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import itertools
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -22,12 +21,13 @@
     RequestHandler,
 )
 from .availability import StoreCallTimes
+from .callercodec import CallerCodec, CallerRequest
 from .calllog import CallLog
 from .clock import Clock
 from .fleet import StoreFollower
 from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
 from .peering import Peering
-from .policy.calls import Answered, Outcome
+from .policy.calls import Outcome
 from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
 from .policy.exchange import ExchangeDependencies
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
@@ -39,6 +39,7 @@
 from .policy.slowstart import ColdLimits, SlowStart
 from .policy.stopping import schedule_stop
 from .randomness import RandomSource
+from .requestlog import RequestLog
 from .sharedstate import SharedState, StateDecoder
 from .statestore import StateStore
 
@@ -88,43 +89,11 @@
     cores: float = 1.0
 
 
-class CallerRequest(NamedTuple):
-    """A decoded request of a caller.
+class Denial(NamedTuple):
+    """The answer to a request that is not passed on to an upstream, and the reason to log."""
 
-    `deadline_ms` is the time that the caller allows from the arrival of the request, or None if it
-    gives none.
-    """
-
-    id: str
-    host: str
-    path: str
-    deadline_ms: float | None
-    content: object
-    is_head: bool
-
-
-class CallerCodec(ABC):
-    """Decodes callers' requests and encodes their answers in the platform's format."""
-
-    @abstractmethod
-    def read_request(self, request: HttpRequest) -> CallerRequest | None:
-        """Return the request, or None if it is malformed."""
-
-    @abstractmethod
-    def make_answer(self, request: RoutedRequest, outcome: Outcome) -> HttpAnswer:
-        """Return the answer for an outcome."""
-
-    @abstractmethod
-    def make_refusal(self, reason: str, retry_ms: float) -> HttpAnswer:
-        """Return the answer to a request that has not run and may be retried after `retry_ms`."""
-
-    @abstractmethod
-    def find_resolve_domain(self, request: HttpRequest) -> str | None:
-        """Return the failure domain if the caller requests addresses; None for other requests."""
-
-    @abstractmethod
-    def make_address_list(self, addresses: list[str], address_ttl_s: float) -> HttpAnswer:
-        """Return the answer with the addresses, which the caller may keep for `address_ttl_s`."""
+    answer: HttpAnswer
+    reason: str
 
 
 class Gateway:
@@ -164,6 +133,7 @@
             settings.cores,
         )
         self.state = SharedState(Registry(), Members(own))
+        self._request_log = RequestLog(clock, log, self.counts, self.state)
         self._slow_start = SlowStart(settings.cold, settings.name)
         self._selector = Selector(
             self.state.registry,
@@ -307,28 +277,42 @@
 
     def serve(self, request: HttpRequest, connection: CallerConnection) -> ExchangeRunner | None:
         """Answer a caller's request at once and return None, or return its started exchange."""
-        catalog = self.state.catalog
         caller_request = self._codec.read_request(request)
-        if caller_request is None:
-            self._deny(connection, "", HttpAnswer(400, (), b"malformed request"), "malformed")
+        route = self._find_route(request, caller_request)
+        if isinstance(route, Denial):
+            connection.answer(route.answer)
+            request_id = caller_request.id if caller_request else ""
+            self._request_log.record_denied(request_id, route.answer.status, route.reason)
             return None
+        return self._start_exchange(request, caller_request, route, connection)
+
+    def _find_route(
+        self, request: HttpRequest, caller_request: CallerRequest | None
+    ) -> Route | Denial:
+        """Return the route of a request, or the answer to one that is not passed on."""
+        catalog = self.state.catalog
+        if caller_request is None:
+            return Denial(HttpAnswer(400, (), b"malformed request"), "malformed")
         if catalog is None:
             waited_ms = request.received_ms - self._started_ms
             retry_ms = min(MAX_UNREADY_RETRY_MS, max(MIN_UNREADY_RETRY_MS, waited_ms))
             answer = self._codec.make_refusal("no configuration yet", retry_ms)
-            self._deny(connection, caller_request.id, answer, "no_configuration")
-            return None
+            return Denial(answer, "no_configuration")
         route = catalog.find_route(caller_request.host, caller_request.path)
         if route is None:
-            self._deny(
-                connection, caller_request.id, HttpAnswer(404, (), b"no such route"), "no_route"
-            )
-            return None
+            return Denial(HttpAnswer(404, (), b"no such route"), "no_route")
         if not self._accepts_requests:
             # Any other instance can serve the request at once.
-            answer = self._codec.make_refusal("stopping", 0.0)
-            self._deny(connection, caller_request.id, answer, "stopping")
-            return None
+            return Denial(self._codec.make_refusal("stopping", 0.0), "stopping")
+        return route
+
+    def _start_exchange(
+        self,
+        request: HttpRequest,
+        caller_request: CallerRequest,
+        route: Route,
+        connection: CallerConnection,
+    ) -> ExchangeRunner:
         round_trip_ms = connection.estimate_round_trip_ms()
         deadline_ms = caller_request.deadline_ms or route.timeout_ms
         routed = RoutedRequest(
@@ -341,12 +325,12 @@
             caller_request.is_head,
             DEFAULT_ROUND_TRIP_MS if round_trip_ms is None else round_trip_ms,
         )
-        version = catalog.version
+        version = self.state.catalog.version
         runner: ExchangeRunner | None = None
 
         def deliver(outcome: Outcome) -> None:
             connection.answer(self._codec.make_answer(routed, outcome))
-            self._record_outcome(routed, version, outcome, runner)
+            self._request_log.record_outcome(routed, version, outcome, runner)
 
         runner = self._forwarder.create_runner(routed, deliver)
         runner.start()
@@ -385,14 +369,7 @@
 
     def handle_caller_left(self, runner: ExchangeRunner) -> None:
         """Record that the caller closed its connection, and cancel its request."""
-        self.counts.add("requests", "caller_left")
-        self._log.write(
-            Event.CALLER_LEFT,
-            "gateway",
-            id=runner.request.id,
-            route=runner.request.route.name,
-            after_ms=round(self._clock.now_ms() - runner.request.received_ms),
-        )
+        self._request_log.record_caller_left(runner.request)
         runner.abandon()
 
     async def _listen(self, address: Address, service: RequestHandler) -> asyncio.Server:
@@ -456,52 +433,6 @@
     def _find_limits(self, service: str) -> ServiceLimits | None:
         return self.state.catalog.services.get(service) if self.state.catalog else None
 
-    def _deny(
-        self, connection: CallerConnection, request_id: str, answer: HttpAnswer, reason: str
-    ) -> None:
-        connection.answer(answer)
-        self.counts.add("requests", reason)
-        version = self.state.catalog.version if self.state.catalog else None
-        self._log.write(
-            Event.REQUEST_DENIED,
-            "gateway",
-            id=request_id,
-            status=answer.status,
-            reason=reason,
-            version=version,
-            # Below the store's revision, the instance is behind; at it, a change has been lost.
-            store_revision=self.state.revision,
-            state_age_ms=round(self._clock.now_ms() - self.state.confirmed_ms),
-        )
-
-    def _record_outcome(
-        self, request: RoutedRequest, version: int, outcome: Outcome, runner: ExchangeRunner | None
-    ) -> None:
-        took_ms = self._clock.now_ms() - request.received_ms
-        fields = {}
-        if isinstance(outcome, Answered):
-            label = "partial" if outcome.missing else "answered"
-            fields["missing"] = outcome.missing
-            if outcome.missing and runner:
-                fields["missing_parts"] = runner.exchange.describe_missing()
-        else:
-            label = type(outcome).__name__.lower()
-            fields["reason"] = outcome.reason
-        self.counts.add("requests", label)
-        self.counts.observe(request.route.name, label, took_ms)
-        self._log.write(
-            Event.REQUEST_ENDED,
-            "gateway",
-            id=request.id,
-            route=request.route.name,
-            version=version,
-            outcome=label,
-            took_ms=round(took_ms, 1),
-            calls=dict(runner.reasons) if runner else {},
-            state_age_ms=round(self._clock.now_ms() - self.state.confirmed_ms),
-            **fields,
-        )
-
 
 class _GatewayService(RequestHandler):
     def __init__(self, gateway: Gateway, connections: Connections) -> None:
--- a/citronpaddle/platform/codec.py
+++ b/citronpaddle/platform/codec.py
@@ -3,8 +3,8 @@
 import json
 
 from ..adapters.httpserver import HttpAnswer, HttpRequest
+from ..callercodec import CallerCodec, CallerRequest
 from ..forwarding import RoutedRequest
-from ..gateway import CallerCodec, CallerRequest
 from ..policy.calls import Outcome
 from ..policy.catalog import Catalog
 from ..policy.registry import Upstream
