Split the stand-in for an upstream into options, service and program

Change: `upstream_options` has the options and shards, `upstream_service` the stand-in, `upstream` the program, under the same name as before. The scripts in extras import it; they were not run.

--- a/citronpaddle/demonstration.py
+++ b/citronpaddle/demonstration.py
@@ -20,7 +20,8 @@
 from .settings import Settings
 from .standins.instances import InstanceListStandIn
 from .standins.keyvalue import KeyValueStandIn
-from .standins.upstream import UpstreamOptions, UpstreamStandIn, make_layout
+from .standins.upstream_options import UpstreamOptions, make_layout
+from .standins.upstream_service import UpstreamStandIn
 
 HOST = "127.0.0.1"
 SERVICE = "lot-search"
--- a/extras/experiment.py
+++ b/extras/experiment.py
@@ -39,7 +39,7 @@
 from citronpaddle.load import LoadPlan, LoadRun  # noqa: E402
 from citronpaddle.policy.changes import ApplyFile  # noqa: E402
 from citronpaddle.randomness import RandomSource  # noqa: E402
-from citronpaddle.standins.upstream import make_layout  # noqa: E402
+from citronpaddle.standins.upstream_options import make_layout  # noqa: E402
 
 RESULTS = ROOT / "results"
 COUNTERS = ("sub_requests", "hedges", "hedges_withheld", "retries", "sheds")
--- a/extras/measuring/hosts.py
+++ b/extras/measuring/hosts.py
@@ -22,7 +22,8 @@
 )
 from citronpaddle.node import Node
 from citronpaddle.settings import Settings
-from citronpaddle.standins import upstream as upstream_standin
+from citronpaddle.standins import upstream_service
+from citronpaddle.standins.upstream_options import UpstreamOptions, make_layout
 
 from .builders import make_indexes
 from .sizes import SLOTS
@@ -38,19 +39,19 @@
 
     Upstream `i`, counted from `first`, holds shard `i` of `total`; each shard has `rows` rows.
     """
-    upstream_standin.ROWS_PER_SHARD = rows
+    upstream_service.ROWS_PER_SHARD = rows
 
     async def run() -> None:
         addresses = []
         for index in range(first, first + count):
-            options = upstream_standin.UpstreamOptions(
+            options = UpstreamOptions(
                 name=f"u{index}",
                 slots=SLOTS,
                 connections=10_000,
                 latency_ms=2.0,
-                shards=upstream_standin.make_layout(total, first=index, last=index),
+                shards=make_layout(total, first=index, last=index),
             )
-            upstream = upstream_standin.UpstreamStandIn(options)
+            upstream = upstream_service.UpstreamStandIn(options)
             await upstream.start()
             addresses.append(upstream.address)
         print(json.dumps(addresses), flush=True)
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -9,7 +9,7 @@
 from cluster import send
 from traffic import Traffic, find_violations
 
-from citronpaddle.standins.upstream import make_layout
+from citronpaddle.standins.upstream_options import make_layout
 
 
 @step("queries run through all instances from {threads:d} threads each")
