Decode generated entries of upstreams in a property test

Cause: the tests of odd entries had listed values. Change: generated values of each field, and generated bytes in place of a part of an entry; a decoded entry must also be usable.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,8 @@
 import sys
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from citronpaddle.platform import documents
 from citronpaddle.platform.settings import PlatformSettingsError, load_settings
@@ -39,11 +41,11 @@
 
 def test_settings_are_decoded_and_unknown_fields_ignored(tmp_path):
     """Guards against a start that fails because of a field that a later version added."""
-    settings = load_settings(write_settings(tmp_path, SETTINGS.format(port=8104)))
-    assert settings.callers_address == ("127.0.0.1", 8104)
-    assert settings.hints_address == ("127.0.0.1", 7380)
-    assert settings.grace_ms == 6_000.0 and settings.address_ttl_s == 2.0
-    assert settings.extra_load.ratio == 0.2
+    loaded = load_settings(write_settings(tmp_path, SETTINGS.format(port=8104)))
+    assert loaded.callers_address == ("127.0.0.1", 8104)
+    assert loaded.hints_address == ("127.0.0.1", 7380)
+    assert loaded.grace_ms == 6_000.0 and loaded.address_ttl_s == 2.0
+    assert loaded.extra_load.ratio == 0.2
 
 
 @pytest.mark.parametrize(
@@ -142,3 +144,59 @@
     assert split.targets[0] == ("x", 2.0) and split.host == "h.example"
     with pytest.raises(documents.DocumentError, match="neither"):
         decode_route(ROUTE)
+
+
+ENTRY = {
+    "service": "s0",
+    "address": "127.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 1,
+    "born": 1,
+}
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(-(10**400), 10**400)
+    | st.floats()
+    | st.text()
+    | st.sampled_from(["ready", "draining", "127.0.0.1:80", "1.2.3.4:808\u00b2", "::1:80", "h:80"]),
+    lambda values: st.lists(values, max_size=3) | st.dictionaries(st.text(), values, max_size=3),
+    max_leaves=5,
+)
+
+
+def decode_entry(upstream_id: str, value: bytes) -> None:
+    """Decode an entry, and use what a decoded one is used for."""
+    try:
+        upstream = documents.decode_upstream(upstream_id, value, 1_000.0)
+    except documents.DocumentError as error:
+        assert len(str(error)) < 200
+        return
+    round(upstream.cold_until_ms - 1_000.0)
+    socket.inet_pton(socket.AF_INET, upstream.host)
+    assert 0 < upstream.port < 65_536
+    assert upstream.id.isascii() and upstream.id.isprintable()
+    assert (upstream.started_at_ms, upstream.sequence) < (2**53, 2**53)
+
+
+@settings(max_examples=1_000, deadline=None, derandomize=True)
+@given(
+    st.just("i-1") | st.text(max_size=8),
+    st.dictionaries(st.sampled_from([*ENTRY]), JSON_VALUES, min_size=1, max_size=2),
+)
+def test_any_entry_of_an_upstream_is_decoded_or_refused(upstream_id, changes):
+    """Guards against an entry whose decoding or use raises any other error."""
+    decode_entry(upstream_id, json.dumps(ENTRY | changes).encode())
+
+
+@settings(max_examples=1_000, deadline=None, derandomize=True)
+@given(st.binary(max_size=20), st.integers(0, 160), st.integers(0, 160))
+def test_any_bytes_of_an_entry_are_decoded_or_refused(odd, begin, end):
+    """Guards against bytes in place of an entry, or of a part of it, that raise any other error."""
+    whole = json.dumps(ENTRY).encode()
+    decode_entry("i-1", whole[:begin] + odd + whole[end:])
