--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -3,8 +3,7 @@
 import asyncio
 
 import pytest
-from platformworld import Request
-from test_gateway import (
+from gatewayworld import (
     FANOUT_ROUTE,
     SINGLE_ROUTE,
     UNSAFE_ROUTE,
@@ -12,6 +11,7 @@
     list_executed,
     run_scenario,
 )
+from platformworld import Request
 
 from citronpaddle.policy.stopping import schedule_stop
 
