Identify the teams of callers by their keys

Cause: keys of callers were not read. They were passed on to upstreams, and requests with unknown or withdrawn keys ran.

Change: the catalog finds the team that holds a key. A request without a valid key is answered 401, unless its route is public. Upstreams get the name of the team in place of the key, whatever the caller sent. Entries of upstreams keep the version of their software. Without teams in the configuration, credentials are passed on as before.

--- a/citronpaddle/adapters/httpserver.py
+++ b/citronpaddle/adapters/httpserver.py
@@ -20,9 +20,11 @@
 _REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
--- a/citronpaddle/callercodec.py
+++ b/citronpaddle/callercodec.py
@@ -12,14 +12,14 @@
     """A decoded request of a caller.
 
     `deadline_ms` is the time that the caller allows from the arrival of the request, or None if it
-    gives none.
+    gives none. `key` identifies the caller's team; it is None if the request has no usable key.
     """
 
     id: str
     host: str
     path: str
     deadline_ms: float | None
-    content: object
+    key: str | None
     is_head: bool
 
 
@@ -30,6 +30,13 @@
     def read_request(self, request: HttpRequest) -> CallerRequest | None:
         """Return the request, or None if it is malformed."""
 
+    @abstractmethod
+    def make_content(self, request: HttpRequest, team: str | None, has_teams: bool) -> object:
+        """Return the content of a request for the upstreams.
+
+        With `has_teams`, it has the name of the caller's `team`, if any, in place of the key.
+        """
+
     @abstractmethod
     def make_answer(self, request: RoutedRequest, outcome: Outcome) -> HttpAnswer:
         """Return the answer for an outcome."""
@@ -38,6 +45,10 @@
     def make_refusal(self, reason: str, retry_ms: float) -> HttpAnswer:
         """Return the answer to a request that has not run and may be retried after `retry_ms`."""
 
+    @abstractmethod
+    def make_unauthorized(self) -> HttpAnswer:
+        """Return the answer to a request without a valid key."""
+
     @abstractmethod
     def find_resolve_domain(self, request: HttpRequest) -> str | None:
         """Return the failure domain if the caller requests addresses; None for other requests."""
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -21,7 +21,7 @@
     Send,
     UnknownLimit,
 )
-from .policy.catalog import Route
+from .policy.catalog import Route, Team
 from .policy.exchange import Exchange, ExchangeDependencies
 from .policy.registry import Upstream
 
@@ -65,7 +65,8 @@
     """A caller's request with its route; `content` is its form for the codec.
 
     `end_ms` is when the answer is due, on the monotonic clock. `round_trip_ms` is how long the
-    request and its answer travel between the caller and this instance.
+    request and its answer travel between the caller and this instance. `team` is the caller's team
+    where callers are identified by keys.
     """
 
     id: str
@@ -76,6 +77,7 @@
     content: Any
     is_head: bool = False
     round_trip_ms: float = 0.0
+    team: Team | None = None
 
 
 class CallObserver(ABC):
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -28,7 +28,14 @@
 from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
 from .peering import Peering
 from .policy.calls import Outcome
-from .policy.catalog import CallerLimits, Route, ServiceLimits, WeightedRotation, WeightedService
+from .policy.catalog import (
+    CallerLimits,
+    Route,
+    ServiceLimits,
+    Team,
+    WeightedRotation,
+    WeightedService,
+)
 from .policy.exchange import ExchangeDependencies
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
 from .policy.feed import Feed
@@ -96,6 +103,13 @@
     reason: str
 
 
+class Admitted(NamedTuple):
+    """A request to pass on to upstreams: its route, and its team where callers have keys."""
+
+    route: Route
+    team: Team | None
+
+
 class Gateway:
     """An entry instance: its servers, connection pool, shared state and running exchanges."""
 
@@ -278,18 +292,18 @@
     def serve(self, request: HttpRequest, connection: CallerConnection) -> ExchangeRunner | None:
         """Answer a caller's request at once and return None, or return its started exchange."""
         caller_request = self._codec.read_request(request)
-        route = self._find_route(request, caller_request)
-        if isinstance(route, Denial):
-            connection.answer(route.answer)
+        admission = self._admit(request, caller_request)
+        if isinstance(admission, Denial):
+            connection.answer(admission.answer)
             request_id = caller_request.id if caller_request else ""
-            self._request_log.record_denied(request_id, route.answer.status, route.reason)
+            self._request_log.record_denied(request_id, admission.answer.status, admission.reason)
             return None
-        return self._start_exchange(request, caller_request, route, connection)
+        return self._start_exchange(request, caller_request, admission, connection)
 
-    def _find_route(
+    def _admit(
         self, request: HttpRequest, caller_request: CallerRequest | None
-    ) -> Route | Denial:
-        """Return the route of a request, or the answer to one that is not passed on."""
+    ) -> Admitted | Denial:
+        """Return the route and team of a request, or the answer to one that is not passed on."""
         catalog = self.state.catalog
         if caller_request is None:
             return Denial(HttpAnswer(400, (), b"malformed request"), "malformed")
@@ -301,18 +315,24 @@
         route = catalog.find_route(caller_request.host, caller_request.path)
         if route is None:
             return Denial(HttpAnswer(404, (), b"no such route"), "no_route")
+        team = catalog.find_team(caller_request.key) if caller_request.key else None
+        if team is None and catalog.has_teams and not route.is_public:
+            reason = "unknown_key" if caller_request.key else "no_key"
+            return Denial(self._codec.make_unauthorized(), reason)
         if not self._accepts_requests:
             # Any other instance can serve the request at once.
             return Denial(self._codec.make_refusal("stopping", 0.0), "stopping")
-        return route
+        return Admitted(route, team)
 
     def _start_exchange(
         self,
         request: HttpRequest,
         caller_request: CallerRequest,
-        route: Route,
+        admitted: Admitted,
         connection: CallerConnection,
     ) -> ExchangeRunner:
+        route, team = admitted
+        catalog = self.state.catalog
         round_trip_ms = connection.estimate_round_trip_ms()
         deadline_ms = caller_request.deadline_ms or route.timeout_ms
         routed = RoutedRequest(
@@ -321,11 +341,12 @@
             route.shards or (self._choose_service(route),),
             request.received_ms,
             request.received_ms + deadline_ms,
-            caller_request.content,
+            self._codec.make_content(request, team.name if team else None, catalog.has_teams),
             caller_request.is_head,
             DEFAULT_ROUND_TRIP_MS if round_trip_ms is None else round_trip_ms,
+            team,
         )
-        version = self.state.catalog.version
+        version = catalog.version
         runner: ExchangeRunner | None = None
 
         def deliver(outcome: Outcome) -> None:
--- a/citronpaddle/platform/codec.py
+++ b/citronpaddle/platform/codec.py
@@ -24,10 +24,18 @@
             fields.host,
             fields.path,
             fields.deadline_ms,
-            headers.make_content(request, fields),
+            headers.read_key(request),
             request.method == b"HEAD",
         )
 
+    def make_content(
+        self, request: HttpRequest, team: str | None, has_teams: bool
+    ) -> headers.CallContent:
+        return headers.make_content(request, team, has_teams)
+
+    def make_unauthorized(self) -> HttpAnswer:
+        return headers.make_unauthorized()
+
     def make_answer(self, request: RoutedRequest, outcome: Outcome) -> HttpAnswer:
         return headers.make_answer(request, outcome)
 
--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -34,6 +34,8 @@
 MISSING_PARTS = b"Citronpaddle-Missing-Parts"
 # The rate in requests per second that an overloaded upstream takes from all instances together.
 RATE_LIMIT = b"Server-Limit"
+# The name of the caller's team, which upstreams get in place of the caller's key.
+TEAM = b"Citronpaddle-Tenant"
 # Set by an upstream that has not run the request and never will.
 NOT_EXECUTED = b"citronpaddle-not-executed"
 
@@ -42,6 +44,11 @@
 _DEADLINE_KEY = DEADLINE.lower()
 _REPLACED_HEADERS = frozenset({_DEADLINE_KEY, EXPECTED_UPSTREAM.lower()})
 _RATE_LIMIT_KEY = RATE_LIMIT.lower()
+_AUTHORIZATION_KEY = b"authorization"
+# The credentials of a caller: the scheme and its team's key.
+_CREDENTIALS = re.compile(rb"token +([\x21-\x7e]+)", re.IGNORECASE)
+# Credentials are the system's own, and callers can't claim to be of a team.
+_IDENTITY_HEADERS = frozenset({_AUTHORIZATION_KEY, TEAM.lower()})
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _MAX_DEADLINE_MS = 86_400_000
 # Statuses that tell a caller that its request has not run. An upstream guarantees this only with
@@ -100,20 +107,40 @@
     return CallerFields(host_name, path.decode("latin-1"), attempt_id, deadline_ms)
 
 
+def read_key(request: HttpRequest) -> str | None:
+    """Return the key of the caller's team; None if there is none, or more than one."""
+    credentials = {
+        value.strip() for name, value in request.headers if name.lower() == _AUTHORIZATION_KEY
+    }
+    if len(credentials) != 1:
+        return None
+    match = _CREDENTIALS.fullmatch(credentials.pop())
+    return match[1].decode("ascii") if match else None
+
+
 def read_resolve_fields(target: bytes) -> ResolveFields:
     """Return the parameters of a request for addresses."""
     query = parse_qs(target.partition(b"?")[2].decode("latin-1"))
     return ResolveFields(query.get("name", [""])[0], query.get("zone", [""])[0])
 
 
-def make_content(request: HttpRequest, fields: CallerFields) -> CallContent:
-    """Return the request as sent to upstreams: method, path, query and body are unchanged."""
+def make_content(request: HttpRequest, team: str | None, has_teams: bool) -> CallContent:
+    """Return the request as sent to upstreams: method, path, query and body are unchanged.
+
+    Where callers are identified by keys, upstreams get the name of the `team`, if any, and no key.
+    """
     lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-    for header in list_end_to_end(request.headers, _REPLACED_HEADERS):
-        lines.append(b"%s: %s\r\n" % header)
+    dropped = _REPLACED_HEADERS | _IDENTITY_HEADERS if has_teams else _REPLACED_HEADERS
+    attempt_id = b""
+    for name, value in list_end_to_end(request.headers, dropped):
+        lines.append(b"%s: %s\r\n" % (name, value))
+        if name.lower() == _ATTEMPT_KEY:
+            attempt_id = value.strip()
+    if team is not None:
+        lines.append(b"%s: %s\r\n" % (TEAM, team.encode("ascii")))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
-    return CallContent(b"".join(lines), request.body, fields.attempt_id)
+    return CallContent(b"".join(lines), request.body, attempt_id)
 
 
 class PlatformCodec(CallCodec):
@@ -201,6 +228,11 @@
     return HttpAnswer(503, (retry_after, *headers), reason.encode())
 
 
+def make_unauthorized() -> HttpAnswer:
+    """Return the answer 401 to a request without a valid key."""
+    return HttpAnswer(401, ((b"WWW-Authenticate", b"Token"),), b"no valid key")
+
+
 def _make_merged_answer(request: RoutedRequest, outcome: Answered) -> HttpAnswer:
     body = merge_records((reply.body for reply in outcome.replies), request.route.top_k)
     headers = (
--- a/citronpaddle/policy/catalog.py
+++ b/citronpaddle/policy/catalog.py
@@ -1,5 +1,6 @@
-"""Catalog of HTTP routes from the operators' configuration, and route lookup."""
+"""Catalog of HTTP routes and teams from the operators' configuration, and their lookup."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 # Upper bound of the choices that a rotation skips initially.
@@ -19,7 +20,7 @@
     A route has either `shards`, all of which contribute to every answer, or `targets`, one of which
     serves the request. `max_upstreams` limits the upstreams of one request, per shard. An answer
     over shards needs at least the share `min_coverage` (0 to 1) of them. A lower `priority` is more
-    urgent.
+    urgent. Requests on a route that `is_public` need no key.
     """
 
     name: str
@@ -34,6 +35,26 @@
     shards: tuple[str, ...] = ()
     top_k: int = 0
     min_coverage: float = 1.0
+    is_public: bool = False
+
+
+class Team(NamedTuple):
+    """A team of callers; its keys are known to the catalog alone, so that no log line has them.
+
+    `priority`, if set, takes precedence over the priority of the route. In any time, the team may
+    send `rate_per_s` requests per second and `burst` more, summed over all instances; a rate of 0
+    means no quota.
+    """
+
+    name: str
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def has_quota(self) -> bool:
+        """Return whether the team's request rate is limited."""
+        return self.rate_per_s > 0
 
 
 class ServiceLimits(NamedTuple):
@@ -67,15 +88,32 @@
         routes: tuple[Route, ...],
         services: tuple[ServiceLimits, ...],
         limits: CallerLimits,
+        teams_by_key: Mapping[str, Team] | None = None,
     ) -> None:
+        """Without `teams_by_key`, callers need no keys; an empty mapping refuses all of them."""
         self.version = version
         self.routes = routes
         self.limits = limits
         self.services = {service.name: service for service in services}
+        self._teams_by_key = teams_by_key
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
 
+    @property
+    def has_teams(self) -> bool:
+        """Return whether callers are identified by keys."""
+        return self._teams_by_key is not None
+
+    @property
+    def teams(self) -> frozenset[Team]:
+        """Return the teams that hold at least one key."""
+        return frozenset((self._teams_by_key or {}).values())
+
+    def find_team(self, key: str) -> Team | None:
+        """Return the team that holds `key`, or None for an unknown or withdrawn key."""
+        return (self._teams_by_key or {}).get(key)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path` at `host`, or None.
 
--- a/citronpaddle/policy/registry.py
+++ b/citronpaddle/policy/registry.py
@@ -13,7 +13,10 @@
 
 
 class Upstream(NamedTuple):
-    """One listed upstream; `started_at_ms` is Unix time in ms, `cold_until_ms` a monotonic time."""
+    """One listed upstream; `started_at_ms` is Unix time in ms, `cold_until_ms` a monotonic time.
+
+    `version` is the version of its software.
+    """
 
     id: str
     service: str
@@ -25,6 +28,7 @@
     cold_until_ms: float
     started_at_ms: int
     sequence: int
+    version: str = ""
 
     @property
     def address(self) -> tuple[str, int]:
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -102,7 +102,10 @@
 
     def list_logged(self, event: str) -> list[dict[str, Any]]:
         """Return the log lines of `event` written since the last call for any event."""
-        lines = os.read(self._log_reader, 1 << 20).decode().splitlines()
+        try:
+            lines = os.read(self._log_reader, 1 << 20).decode().splitlines()
+        except BlockingIOError:
+            return []
         return [line for line in map(json.loads, lines) if line["event"] == event]
 
     async def connect(self) -> Caller:
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -335,8 +335,11 @@
         }
         self.store.write(f"servers/{upstream.id}", json.dumps(entry | changes).encode())
 
-    def configure(self, routes: list[dict[str, Any]], **limits: Any) -> None:
-        """Write the next version of the configuration; `limits` replace fields of the limits."""
+    def configure(self, routes: list[dict[str, Any]], tenants: Any = None, **limits: Any) -> None:
+        """Write the next version of the configuration; `limits` replace fields of the limits.
+
+        Without `tenants`, callers need no keys.
+        """
         self.version += 1
         services = {
             name
@@ -362,6 +365,8 @@
             ],
             "limits": base | limits,
         }
+        if tenants is not None:
+            document["tenants"] = tenants
         self.store.write("op/config", json.dumps(document).encode())
 
 
