Follow the store across its restore from a copy

Cause: revisions and leases were trusted although a restored store gives them out again. Changes at revisions known before were skipped, removed upstreams and lost instances were used again, and entries that the copy lacks were lost.

Change: answers name the store's era. Entries known as removed are refused.

--- a/citronpaddle/adapters/hintchannel.py
+++ b/citronpaddle/adapters/hintchannel.py
@@ -73,7 +73,7 @@
 def _encode_feed(batch: FeedBatch) -> ttypes.Feed:
     items = [ttypes.Change(item.key, item.value, item.revision) for item in batch.changes]
     compressed = zlib.compress(_write(ttypes.Changes(items)), _COMPRESSION_LEVEL) if items else None
-    return ttypes.Feed(batch.from_revision, batch.to_revision, batch.age_ms, compressed)
+    return ttypes.Feed(batch.from_revision, batch.to_revision, batch.age_ms, compressed, batch.era)
 
 
 def _decode_feed(feed: ttypes.Feed) -> FeedBatch:
@@ -92,7 +92,13 @@
         items = tuple(
             StoreItem(str(item.key), item.value, int(item.revision)) for item in changes.items
         )
-    return FeedBatch(int(feed.from_revision), int(feed.to_revision), float(feed.age_ms), items)
+    return FeedBatch(
+        int(feed.from_revision),
+        int(feed.to_revision),
+        float(feed.age_ms),
+        items,
+        int(feed.era or 0),
+    )
 
 
 def _write(message: ttypes.Message | ttypes.Changes) -> bytes:
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -67,7 +67,14 @@
             # A watch that was sent before the return may have been lost.
             self._is_watch_suspect.set,
         )
-        self._registration = Registration(store, state.members.own, log, times, self._availability)
+        self._registration = Registration(
+            store,
+            state.members.own,
+            log,
+            times,
+            self._availability,
+            lambda: self._begin_era(self._store.era),
+        )
         self._updater = StateUpdater(
             clock,
             decoder,
@@ -119,6 +126,7 @@
             if isinstance(view, StoreFailure):
                 retry_ms = await self._availability.pause(view, retry_ms)
                 continue
+            self._begin_era(view.era)
             self._availability.handle_answer()
             self._state.store_read_ms = self._clock.now_ms()
             self._updater.apply_view(view)
@@ -126,7 +134,10 @@
             await self._watch()
 
     async def _watch(self) -> None:
-        """Apply changes until the store has discarded some that are needed."""
+        """Apply changes until all must be read again.
+
+        That is so when the store has discarded changes that are needed, or was restored.
+        """
         retry_ms = self._times.first_retry_ms
         # If all instances start together, each new entry would end the first watch of all others.
         await asyncio.sleep(self._times.watch_interval_ms / 1_000)
@@ -135,9 +146,14 @@
                 continue
             called_ms = self._clock.now_ms()
             after = self._state.revision
+            if after == 0:
+                return
             changes = await self._call_watch(after)
             if isinstance(changes, WatchAbandoned):
                 continue
+            self._begin_era(self._store.era)
+            if self._state.revision == 0:
+                return
             if isinstance(changes, HistoryLost):
                 self._log.write(Event.HISTORY_LOST, "fleet", after_revision=after)
                 return
@@ -156,6 +172,29 @@
             if remaining_ms > 0 and len(changes.items) < MAYBE_TRUNCATED_CHANGES:
                 await asyncio.sleep(remaining_ms / 1_000)
 
+    def _begin_era(self, era: int) -> None:
+        """Read everything again if the store was restored from a copy.
+
+        Until then, `revision` is 0: what was read of the earlier era stays in force, and no
+        revision of it is compared with one of the new era.
+        """
+        if era <= self._state.era:
+            return
+        previous, self._state.era = self._state.era, era
+        if self._state.revision == 0:
+            return
+        self._log.write(
+            Event.STORE_RESTORED,
+            "fleet",
+            era=era,
+            previous=previous,
+            known=self._state.revision,
+        )
+        self._updater.begin_era()
+        self._registration.handle_entry_removed()
+        self._is_watch_suspect.set()
+        self._has_gap.set()
+
     async def _wait_for_gap(self) -> bool:
         """Wait for `feed_check_ms` and return whether there are changes to read from the store."""
         try:
@@ -168,6 +207,11 @@
 
     def apply_batch(self, sender: str, batch: FeedBatch) -> None:
         """Apply the changes that another instance has read from the store and relayed."""
+        if batch.era != self._state.era:
+            if batch.era > self._state.era:
+                # The watch shows whether the store was restored.
+                self._has_gap.set()
+            return
         now_ms = self._clock.now_ms()
         self._feed.record_batch(sender, batch, now_ms)
         if self._state.revision == 0:
@@ -228,6 +272,7 @@
                 continue
             watch = self._pending_watch
             revision = await self._store.read_revision()
+            self._begin_era(self._store.era)
             if isinstance(revision, StoreFailure):
                 was_unanswered = True
             elif was_unanswered:
--- a/citronpaddle/hints.thrift
+++ b/citronpaddle/hints.thrift
@@ -37,6 +37,8 @@
   3: double age_ms,
   /** A `Changes` struct compressed with zlib; unset if there are no changes. */
   4: optional binary changes,
+  /** The store's era to which the revisions belong. */
+  5: optional i64 era,
 }
 
 struct Message {
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -129,7 +129,8 @@
         batch = None
         if self._feed.is_watcher and not self._state.is_store_lost:
             revision = self._state.revision
-            batch = FeedBatch(revision, revision, now_ms - self._state.store_read_ms)
+            age_ms = now_ms - self._state.store_read_ms
+            batch = FeedBatch(revision, revision, age_ms, era=self._state.era)
         self._send_to_domain(batch)
 
     def _send_to_domain(self, batch: FeedBatch | None) -> None:
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -24,6 +24,9 @@
 # A watch times out this long after the time for which it was asked to wait.
 WATCH_MARGIN_MS = 2_000.0
 _MAX_IDLE_MS = 10_000.0
+# The number of times that the store was restored from a copy.
+_ERA_KEY = b"store-era"
+_MAX_ERA_DIGITS = 15
 _ROOT = "/citronpaddle"
 
 
@@ -33,10 +36,16 @@
     def __init__(self, address: Address, pool: ConnectionPool) -> None:
         self._address = address
         self._pool = pool
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        return self._era
 
     async def read_all(self, prefix: str) -> StoreView | StoreFailure:
         items: list[StoreItem] = []
         revision: int | None = None
+        era: int | None = None
         after = ""
         while True:
             path = f"{_ROOT}/kv-range?prefix={quote(prefix, safe='')}"
@@ -53,9 +62,12 @@
                 has_more = body["has_more"]
             except (KeyError, TypeError, ValueError) as error:
                 return StoreFailure(f"unreadable page: {error!r}")
+            era = self._era if era is None else era
+            if era != self._era:
+                return StoreFailure("restored between two pages")
             items.extend(page)
             if not has_more or not page:
-                return StoreView(tuple(items), revision)
+                return StoreView(tuple(items), revision, era)
             after = page[-1].key
 
     async def read_revision(self) -> int | StoreFailure:
@@ -69,6 +81,7 @@
     async def watch(
         self, prefix: str, after: int, wait_ms: int
     ) -> StoreChanges | HistoryLost | StoreFailure:
+        era = self._era
         path = f"{_ROOT}/kv-watch?prefix={quote(prefix, safe='')}&after={after}&wait_ms={wait_ms}"
         answer = await self._call(
             "GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS, absent_status=410
@@ -76,10 +89,12 @@
         if isinstance(answer, StoreFailure):
             return answer
         status, body = answer
-        if status == 410:
+        if status == 410 or self._era != era:
+            # In a new era, the changes do not follow those up to `after`.
             return HistoryLost()
         try:
-            return StoreChanges(tuple(_read_item(item) for item in body["events"]), body["as_of"])
+            items = tuple(_read_item(item) for item in body["events"])
+            return StoreChanges(items, body["as_of"], era)
         except (KeyError, TypeError, ValueError) as error:
             return StoreFailure(f"unreadable events: {error!r}")
 
@@ -88,7 +103,7 @@
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            return Lease(int(answer[1]["lease"]), float(answer[1]["ttl_ms"]))
+            return Lease(int(answer[1]["lease"]), float(answer[1]["ttl_ms"]), self._era)
         except (KeyError, TypeError, ValueError) as error:
             return StoreFailure(f"unreadable lease: {error!r}")
 
@@ -96,7 +111,7 @@
         answer = await self._call("POST", f"{_ROOT}/kv-keep/{lease.id}", {}, absent_status=404)
         if isinstance(answer, StoreFailure):
             return answer
-        return LeaseEnded() if answer[0] == 404 else lease
+        return LeaseEnded() if answer[0] == 404 or self._era != lease.era else lease
 
     async def end_lease(self, lease: Lease) -> StoreFailure | None:
         answer = await self._call("DELETE", f"{_ROOT}/kv-lease-end/{lease.id}", absent_status=404)
@@ -112,7 +127,7 @@
         answer = await self._call("POST", f"{_ROOT}/kv-txn", body, absent_status=404)
         if isinstance(answer, StoreFailure):
             return answer
-        return LeaseEnded() if answer[0] == 404 else None
+        return LeaseEnded() if answer[0] == 404 or self._era != lease.era else None
 
     async def _call(
         self,
@@ -134,9 +149,23 @@
         )
         if isinstance(response, HttpFailure):
             return StoreFailure(response.reason)
+        era = _read_era(response)
+        if era is not None and era < self._era:
+            return StoreFailure("answer of an earlier era")
+        self._era = self._era if era is None else era
         return _read_response(response, absent_status)
 
 
+def _read_era(response: HttpResponse) -> int | None:
+    """Return the era in which the store answered, or None if it names none."""
+    for name, value in response.headers:
+        if name.lower() == _ERA_KEY:
+            text = value.strip()
+            if text.isdigit() and len(text) <= _MAX_ERA_DIGITS:
+                return int(text)
+    return None
+
+
 def _read_response(response: HttpResponse, absent_status: int) -> tuple[int, Any] | StoreFailure:
     if response.status == absent_status:
         return response.status, None
--- a/citronpaddle/policy/feed.py
+++ b/citronpaddle/policy/feed.py
@@ -33,18 +33,20 @@
 class FeedBatch(NamedTuple):
     """All changes after `from_revision` up to `to_revision`; the watch was answered `age_ms` ago.
 
-    A batch with equal revisions has no changes and only reports the watcher's revision.
+    A batch with equal revisions has no changes and only reports the watcher's revision. Revisions
+    are those of the store's `era`.
     """
 
     from_revision: int
     to_revision: int
     age_ms: float
     changes: tuple[StoreItem, ...] = ()
+    era: int = 0
 
     @property
     def without_changes(self) -> "FeedBatch":
         """Return a batch that only reports the watcher's revision."""
-        return FeedBatch(self.to_revision, self.to_revision, self.age_ms)
+        return FeedBatch(self.to_revision, self.to_revision, self.age_ms, era=self.era)
 
 
 class BatchPosition(StrEnum):
@@ -77,14 +79,14 @@
         together = list(group)
         added_bytes = sum(_estimate_size_bytes(item) for item in together)
         if changes and size_bytes + added_bytes > MAX_BATCH_BYTES:
-            batches.append(FeedBatch(start, end, age_ms, tuple(changes)))
+            batches.append(FeedBatch(start, end, age_ms, tuple(changes), read.era))
             changes, size_bytes, start = [], 0, end
         changes += together
         size_bytes += added_bytes
         end = revision
         if len(batches) >= MAX_BATCHES:
-            return [FeedBatch(read.revision, read.revision, age_ms)]
-    batches.append(FeedBatch(start, read.revision, age_ms, tuple(changes)))
+            return [FeedBatch(read.revision, read.revision, age_ms, era=read.era)]
+    batches.append(FeedBatch(start, read.revision, age_ms, tuple(changes), read.era))
     return batches
 
 
--- a/citronpaddle/registration.py
+++ b/citronpaddle/registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 
 from .adapters.eventlog import Event, EventLog
 from .availability import StoreAvailability, StoreCallTimes
@@ -20,7 +21,10 @@
         log: EventLog,
         times: StoreCallTimes,
         availability: StoreAvailability,
+        on_answer: Callable[[], None],
     ) -> None:
+        """Call `on_answer` after each call that the store has answered."""
+        self._on_answer = on_answer
         self._store = store
         self._own = own
         self._log = log
@@ -53,6 +57,7 @@
                 retry_ms = await self._availability.pause(failure, retry_ms)
                 continue
             retry_ms = self._times.first_retry_ms
+            self._on_answer()
             if self._lease is None or self._is_leaving:
                 continue
             self._availability.handle_answer()
--- a/citronpaddle/sharedstate.py
+++ b/citronpaddle/sharedstate.py
@@ -18,6 +18,9 @@
 # Characters of an error that are logged; it may quote the document.
 MAX_REASON_LENGTH = 200
 MAX_CORES = 10_000.0
+# After a restore of the store, the operator's keys that its copy lacks stay in force for this long,
+# in which the operator writes them again.
+RESTORE_GRACE_MS = 10_000.0
 
 
 class StateDecoder(ABC):
@@ -49,7 +52,8 @@
     """The shared state as known to this instance; `catalog` is None until the first configuration.
 
     `confirmed_ms` is when the state was last confirmed to be current, `store_read_ms` when the
-    store last answered this instance's own watch or read; both are monotonic times.
+    store last answered this instance's own watch or read; both are monotonic times. `revision` is a
+    revision of the store's `era`; it is 0 until the store has been read in that era.
     """
 
     registry: Registry
@@ -59,6 +63,7 @@
     confirmed_ms: float = 0.0
     store_read_ms: float = 0.0
     is_store_lost: bool = False
+    era: int = 0
 
 
 class StateUpdater:
@@ -86,6 +91,24 @@
         self._removed_while_reading: dict[str, int] | None = None
         self._revisions: dict[str, int] = {}
         self._out_domains: dict[str, str] = {}
+        # Until the store is read again after a restore, a view may have what is known to be gone.
+        self._is_restored = False
+        self._restore_grace_until_ms = 0.0
+        self._missing_since_restore: set[str] = set()
+
+    def begin_era(self) -> None:
+        """Prepare for the store's state after its restore from a copy that is some seconds old.
+
+        What is known stays in force. Entries that the copy lacks are kept for a grace period, in
+        which their writers write them again.
+        """
+        now_ms = self._clock.now_ms()
+        self._is_restored = True
+        self._restore_grace_until_ms = now_ms + RESTORE_GRACE_MS
+        self._revisions = dict.fromkeys(self._revisions, 0)
+        self._state.revision = 0
+        self._state.registry.handle_store_return(now_ms)
+        self._state.members.handle_store_return(now_ms)
 
     def begin_full_read(self) -> None:
         """Prepare for a view of the store that may be older than changes applied meanwhile."""
@@ -109,11 +132,16 @@
         removed, self._removed_while_reading = self._removed_while_reading or {}, None
         present = {item.key for item in view.items}
         for key in list(self._revisions):
-            if key not in present:
+            if key in present:
+                continue
+            if self._is_restored and self._decoder.find_domain_taken_out(key) is not None:
+                self._missing_since_restore.add(key)
+            else:
                 self._apply_item(StoreItem(key, None, view.revision))
         for item in view.items:
             if item.revision > removed.get(item.key, 0):
                 self._apply_item(item)
+        self._is_restored = False
         self._state.revision = max(self._state.revision, view.revision)
         self._on_change()
 
@@ -166,6 +194,8 @@
             registry.remove_invalid(upstream_id)
             self._log.write(Event.UPSTREAM_REFUSED, "fleet", upstream=upstream_id, reason=decoded)
             return
+        if self._is_restored and registry.is_known_removed(decoded):
+            return
         known = registry.get(upstream_id)
         if known is not None and known.started_at_ms != decoded.started_at_ms:
             self._selector.remove_upstream(upstream_id)
@@ -227,6 +257,9 @@
             members.remove(name, now_ms)
             if name == members.own.name:
                 self._on_own_entry_removed()
+        elif self._is_restored and name not in members.list_names():
+            # It has ended since the copy was made, or writes its entry again.
+            return
         else:
             members.put(_decode_member(name, value), now_ms)
         self._log.write(
@@ -239,6 +272,15 @@
         for upstream_id in self._state.registry.expire(now_ms):
             self._handle_upstream_gone(upstream_id, "missing after the store's return")
         self._state.members.expire(now_ms)
+        if self._missing_since_restore and now_ms >= self._restore_grace_until_ms:
+            self._expire_operator_keys()
+
+    def _expire_operator_keys(self) -> None:
+        """Remove the operator's keys that were not written again after a restore."""
+        keys, self._missing_since_restore = self._missing_since_restore, set()
+        for key in keys:
+            if self._revisions.get(key) == 0:
+                self._apply_item(StoreItem(key, None, self._state.revision))
 
 
 def _decode_member(name: str, value: bytes) -> Member:
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -15,10 +15,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreView:
-    """All items under a prefix; changes after `revision` may be missing."""
+    """All items under a prefix; changes after `revision` may be missing.
+
+    Revisions are comparable only within one `era`, see `StateStore.era`.
+    """
 
     items: tuple[StoreItem, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +31,7 @@
 
     items: tuple[StoreItem, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,15 +56,28 @@
 
 
 class Lease(NamedTuple):
-    """A granted lease; it expires `ttl_ms` after the store receives the last renewal."""
+    """A granted lease; it expires `ttl_ms` after the store receives the last renewal.
+
+    It is valid only in the `era` in which it was granted: a later one may use its id again.
+    """
 
     id: int
     ttl_ms: float
+    era: int = 0
 
 
 class StateStore(ABC):
     """The calls to the store; each returns a value within its timeout and raises no exception."""
 
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """Return the newest era that an answer has named, 0 if none has.
+
+        A new era begins when the store is restored from a copy. Writes after that copy are lost,
+        leases too, and their revisions are given out again. Answers of earlier eras are failures.
+        """
+
     @abstractmethod
     async def read_all(self, prefix: str) -> StoreView | StoreFailure:
         """Return the current items under `prefix`, read page by page."""
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -35,6 +35,10 @@
         self._leases: dict[int, set[str]] = {}
         self._changed = asyncio.Event()
 
+    @property
+    def era(self) -> int:
+        return 0
+
     def write(self, key: str, value: bytes) -> None:
         """Write a key without a lease, as an operator or an upstream does."""
         self.revision += 1
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -115,6 +115,24 @@
         self.delay_ms = 4.0
         self.changed = asyncio.Event()
         self._leases: dict[int, tuple[float, set[str]]] = {}
+        self.era = 1
+        self._copy: tuple[dict[str, StoreItem], int, dict[int, tuple[float, set[str]]]] | None = (
+            None
+        )
+
+    def copy(self) -> None:
+        """Copy the state from which `restore` starts."""
+        leases = {
+            number: (until_ms, set(keys)) for number, (until_ms, keys) in self._leases.items()
+        }
+        self._copy = (dict(self.items), self.revision, leases)
+
+    def restore(self) -> None:
+        """Go back to the copy; a new era begins, without the history."""
+        self.items, self.revision, self._leases = self._copy
+        self._copy = None
+        self.era += 1
+        self.compact()
 
     def write(self, key: str, value: bytes | None) -> None:
         """Write a key, or delete it if `value` is None."""
@@ -177,7 +195,7 @@
             first -= 1
         changes = tuple(self.history[first : first + MAX_CHANGES])
         end = changes[-1].revision if len(changes) == MAX_CHANGES else self.revision
-        return StoreChanges(changes, end)
+        return StoreChanges(changes, end, self.era)
 
 
 class Path(StateStore):
@@ -192,6 +210,11 @@
         self._store = store
         self._draw = draw
         self._cut = asyncio.Event()
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        return self._era
 
     def set_fault(self, fault: str | None) -> None:
         """Begin or end a fault; a reset and a cut end the calls that are pending."""
@@ -206,13 +229,21 @@
             async with asyncio.timeout(timeout_ms / 1_000):
                 await self._arrive()
                 result = answer()
+                era = self._store.era
                 await self._travel()
-                return result
+                return self._check_era(era, result)
         except TimeoutError:
             return StoreFailure("timeout")
         except ConnectionError as error:
             return StoreFailure(str(error))
 
+    def _check_era(self, era: int, result: Any) -> Any:
+        """Return the result, or a failure if it is from an earlier era."""
+        if era < self._era:
+            return StoreFailure("answer of an earlier era")
+        self._era = era
+        return result
+
     async def _arrive(self) -> None:
         await self._travel()
         await asyncio.sleep(self._store.delay_ms / 1_000)
@@ -232,16 +263,20 @@
     async def read_all(self, prefix: str) -> StoreView | StoreFailure:
         items: list[StoreItem] = []
         revision: int | None = None
+        era: int | None = None
         after = ""
         while True:
             page = await self._call(lambda after=after: self._read_page(after))
             if isinstance(page, StoreFailure):
                 return page
+            era = self._era if era is None else era
+            if era != self._era:
+                return StoreFailure("restored between two pages")
             read, page_revision, has_more = page
             items += read
             revision = page_revision if revision is None else revision
             if not has_more:
-                return StoreView(tuple(items), revision)
+                return StoreView(tuple(items), revision, era)
             after = read[-1].key
 
     def _read_page(self, after: str) -> tuple[list[StoreItem], int, bool]:
@@ -255,13 +290,15 @@
     async def watch(
         self, prefix: str, after: int, wait_ms: int
     ) -> StoreChanges | HistoryLost | StoreFailure:
+        era = self._era
         try:
             async with asyncio.timeout((wait_ms + WATCH_MARGIN_MS) / 1_000):
-                return await self._watch(after, wait_ms)
+                answer = await self._watch(after, wait_ms)
         except TimeoutError:
             return StoreFailure("timeout")
         except ConnectionError as error:
             return StoreFailure(str(error))
+        return HistoryLost() if self._era != era else answer
 
     async def _watch(self, after: int, wait_ms: int) -> StoreChanges | HistoryLost:
         await self._arrive()
@@ -275,7 +312,8 @@
                 break
             changes = None if store.are_watches_silent else store.read_after(after)
             if changes is not None or loop.time() >= end_s:
-                answer = changes or StoreChanges((), max(after, store.compacted_revision))
+                end = max(after, store.compacted_revision)
+                answer = changes or StoreChanges((), end, store.era)
                 break
             store.changed.clear()
             waits = [asyncio.ensure_future(store.changed.wait()), asyncio.ensure_future(cut.wait())]
@@ -289,19 +327,21 @@
             if cut.is_set():
                 await self._travel()
                 raise ConnectionError("closed")
+        era = store.era
         await self._travel()
         if self.fault == "silent" or store.is_down:
             await asyncio.Event().wait()
-        return answer
+        return self._check_era(era, answer)
 
     async def grant_lease(self, ttl_ms: float) -> Lease | StoreFailure:
-        return await self._call(lambda: self._store.grant(ttl_ms, LoopClock().now_ms()))
+        lease = await self._call(lambda: self._store.grant(ttl_ms, LoopClock().now_ms()))
+        return lease if isinstance(lease, StoreFailure) else lease._replace(era=self._era)
 
     async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
         is_renewed = await self._call(lambda: self._store.renew(lease, LoopClock().now_ms()))
         if isinstance(is_renewed, StoreFailure):
             return is_renewed
-        return lease if is_renewed else LeaseEnded()
+        return lease if is_renewed and lease.era == self._era else LeaseEnded()
 
     async def end_lease(self, lease: Lease) -> StoreFailure | None:
         return await self._call(lambda: self._store.end(lease.id))
@@ -310,7 +350,7 @@
         is_written = await self._call(lambda: self._store.put(key, value, lease))
         if isinstance(is_written, StoreFailure):
             return is_written
-        return None if is_written else LeaseEnded()
+        return None if is_written and lease.era == self._era else LeaseEnded()
 
 
 class Datagrams:
@@ -435,7 +475,7 @@
         self.instances: dict[int, SimulatedInstance] = {}
         # The versions of the configuration with the times of their acknowledgement, in ms.
         self.acknowledged: list[tuple[float, int]] = []
-        self._cores = [2.0 if number < 2 else 0.5 for number in range(count)]
+        self._cores = [2.0 if number < 2 else 0.5 for number in range(count + 1)]
         self.write_configuration()
         for number in range(200):
             self.write_upstream(number)
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -173,13 +173,17 @@
 
 @dataclass
 class StoreStandIn(StandIn):
-    """The platform's key-value store; it answers every call with 503 while `is_down` is set."""
+    """The platform's key-value store; it answers every call with 503 while `is_down` is set.
+
+    Its answers name the `era`, unless that is 0.
+    """
 
     keys: dict[str, Key] = field(default_factory=dict)
     events: list[dict[str, Any]] = field(default_factory=list)
     revision: int = 1
     is_down: bool = False
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    era: int | str = 0
 
     def __post_init__(self) -> None:
         super().__init__()
@@ -237,7 +241,10 @@
         if self.is_down:
             connection.transport.abort()
             return
-        connection.reply(status, {"Content-Type": "application/json"}, json.dumps(answer).encode())
+        headers = {"Content-Type": "application/json"}
+        if self.era:
+            headers["Store-Era"] = str(self.era)
+        connection.reply(status, headers, json.dumps(answer).encode())
 
     async def _answer(self, call, query, body) -> tuple[int, Any]:
         if call[0] == "kv-range":
