Retry calls to a lost store from one task of an instance

Cause: while the store refused calls, the watch, the lease and the check of the revision were each retried; refused calls cost as much as others.

Change: the task that renews the lease retries, or the one that reads the configuration if there is none; the others wait for its success. Leases are renewed after 0.6 of their time, with a timeout of 1 s, and watchers pause for a fifth of the time allowed for a configuration.

--- a/citronpaddle/availability.py
+++ b/citronpaddle/availability.py
@@ -1,6 +1,7 @@
 """Whether the platform's store answers this instance, and the pauses between its retries."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -20,7 +21,7 @@
     watch_wait_ms: int = 25_000
     # The same for an instance that relays changes to others: an unanswered watch must be detected
     # well within the strictest time limit for a configuration.
-    watcher_wait_ms: int = 1_300
+    watcher_wait_ms: int = 1_200
     # Minimum interval of watch calls. Every call has a cost, so changes in quick succession share
     # one. The strictest time limit for a configuration, 3 s on the smallest sites, leaves room for
     # this delay.
@@ -31,10 +32,14 @@
     # Without a configuration an instance can't serve callers, so it retries sooner, unless the
     # store refuses calls because of their rate.
     max_unready_retry_ms: float = 400.0
+    # While one task of an instance retries, the others wait for its success, at most this long.
+    max_return_wait_ms: float = 4_000.0
     # A crashed instance is removed after this time at most, and a renewal costs little.
     lease_ms: float = 4_000.0
-    # The share of a lease's time after which it is renewed, so that one renewal may fail.
-    renew_share: float = 0.4
+    # The share of a lease's time after which it is renewed, and the timeout of a renewal: one that
+    # is not answered is followed by another before the lease ends.
+    renew_share: float = 0.6
+    renew_timeout_ms: float = 1_000.0
     # Interval of the comparison of the store's revision with the one that the watch has reached,
     # and how much longer than the check a watch may take to reach it: together they are less than
     # the shortest time within which an instance must have recovered, 4 s. A check costs a tenth of
@@ -71,12 +76,29 @@
         self._random = random
         self._on_return = on_return
         self._lost_since_ms = 0.0
+        self._returned = asyncio.Event()
+
+    @property
+    def is_unready(self) -> bool:
+        """Return whether the instance has no configuration, so that the follower retries often."""
+        return self._state.catalog is None
+
+    async def wait_for_return(self, failure: StoreFailure) -> None:
+        """Wait until another task's call is answered, or for `max_return_wait_ms`.
+
+        Refused calls have a cost, so that only one task of an instance retries.
+        """
+        self._handle_failure(failure)
+        jitter = 1.0 + RETRY_JITTER * self._random()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._times.max_return_wait_ms * jitter / 1_000):
+                await self._returned.wait()
 
     async def pause(self, failure: StoreFailure, retry_ms: float) -> float:
         """Wait before the next call; return the pause in ms after a further failure."""
         self._handle_failure(failure)
         jitter = 1.0 + RETRY_JITTER * self._random()
-        if self._state.catalog is None and not failure.is_overload:
+        if self.is_unready and not failure.is_overload:
             retry_ms = min(retry_ms, self._times.max_unready_retry_ms)
         await asyncio.sleep(retry_ms * jitter / 1_000)
         return min(self._times.max_retry_ms, 2 * retry_ms)
@@ -85,6 +107,7 @@
         if not self._state.is_store_lost:
             self._lost_since_ms = self._clock.now_ms()
             self._state.is_store_lost = True
+            self._returned.clear()
             self._log.write(Event.STORE_LOST, "fleet", reason=failure.reason)
 
     def handle_answer(self) -> None:
@@ -93,6 +116,7 @@
         self._state.confirmed_ms = now_ms
         if self._state.is_store_lost:
             self._state.is_store_lost = False
+            self._returned.set()
             self._on_return()
             self._state.registry.handle_store_return(now_ms)
             self._state.members.handle_store_return(now_ms)
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -138,7 +138,6 @@
 
         That is so when the store has discarded changes that are needed, or was restored.
         """
-        retry_ms = self._times.first_retry_ms
         # If all instances start together, each new entry would end the first watch of all others.
         await asyncio.sleep(self._times.watch_interval_ms / 1_000)
         while True:
@@ -158,11 +157,11 @@
                 self._log.write(Event.HISTORY_LOST, "fleet", after_revision=after)
                 return
             if isinstance(changes, StoreFailure):
-                retry_ms = await self._availability.pause(changes, retry_ms)
+                # The registration retries, since the lease is the first to suffer.
+                await self._availability.wait_for_return(changes)
                 continue
             self._availability.handle_answer()
             self._state.store_read_ms = self._clock.now_ms()
-            retry_ms = self._times.first_retry_ms
             self._updater.apply_changes(changes.items, changes.revision)
             self._relay(after, changes)
             interval_ms = self._times.watch_interval_ms
@@ -271,6 +270,10 @@
                 was_unanswered = False
                 continue
             watch = self._pending_watch
+            if watch is None and self._state.is_store_lost:
+                # The watch follows as soon as another call is answered.
+                was_unanswered = False
+                continue
             revision = await self._store.read_revision()
             self._begin_era(self._store.era)
             if isinstance(revision, StoreFailure):
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -64,6 +64,8 @@
 # The share of the time allowed for applying a new configuration that a change may wait for the
 # next watch call.
 WATCH_INTERVAL_SHARE = 0.3
+# The same for an instance that relays the changes to others.
+WATCHER_INTERVAL_SHARE = 0.2
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
 # On a stop: the interval of the check for connections that have become idle, and the time for
@@ -191,6 +193,7 @@
             StoreCallTimes(
                 lease_ms=max(StoreCallTimes().lease_ms, settings.min_lease_ms),
                 watch_interval_ms=WATCH_INTERVAL_SHARE * settings.config_apply_ms,
+                watcher_interval_ms=WATCHER_INTERVAL_SHARE * settings.config_apply_ms,
             ),
             feed,
             self._peering.relay,
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -107,8 +107,10 @@
         except (KeyError, TypeError, ValueError) as error:
             return StoreFailure(f"unreadable lease: {error!r}")
 
-    async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
-        answer = await self._call("POST", f"{_ROOT}/kv-keep/{lease.id}", {}, absent_status=404)
+    async def renew_lease(
+        self, lease: Lease, timeout_ms: float
+    ) -> Lease | LeaseEnded | StoreFailure:
+        answer = await self._call("POST", f"{_ROOT}/kv-keep/{lease.id}", {}, timeout_ms, 404)
         if isinstance(answer, StoreFailure):
             return answer
         return LeaseEnded() if answer[0] == 404 or self._era != lease.era else lease
--- a/citronpaddle/registration.py
+++ b/citronpaddle/registration.py
@@ -54,7 +54,10 @@
                 self._write_own_entry() if self._lease is None else self._renew_lease()
             )
             if failure is not None:
-                retry_ms = await self._availability.pause(failure, retry_ms)
+                if self._availability.is_unready:
+                    await self._availability.wait_for_return(failure)
+                else:
+                    retry_ms = await self._availability.pause(failure, retry_ms)
                 continue
             retry_ms = self._times.first_retry_ms
             self._on_answer()
@@ -96,7 +99,7 @@
         return None
 
     async def _renew_lease(self) -> StoreFailure | None:
-        result = await self._store.renew_lease(self._lease)
+        result = await self._store.renew_lease(self._lease, self._times.renew_timeout_ms)
         if isinstance(result, LeaseEnded):
             self._log.write(Event.LEASE_LOST, "fleet", lease=self._lease and self._lease.id)
             self._lease = None
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -97,7 +97,9 @@
         """Return a new lease; its `ttl_ms` is the time that the store has granted."""
 
     @abstractmethod
-    async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
+    async def renew_lease(
+        self, lease: Lease, timeout_ms: float
+    ) -> Lease | LeaseEnded | StoreFailure:
         """Renew the lease for its full time and return it."""
 
     @abstractmethod
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -114,7 +114,9 @@
         self._leases[lease.id] = set()
         return lease
 
-    async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
+    async def renew_lease(
+        self, lease: Lease, timeout_ms: float
+    ) -> Lease | LeaseEnded | StoreFailure:
         self.log.append("renew_lease")
         if self.is_down:
             return StoreFailure("down")
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -19,6 +19,7 @@
 from citronpaddle.availability import StoreCallTimes
 from citronpaddle.clock import Clock
 from citronpaddle.fleet import StoreFollower
+from citronpaddle.gateway import WATCH_INTERVAL_SHARE, WATCHER_INTERVAL_SHARE
 from citronpaddle.peering import Peering
 from citronpaddle.platform.codec import PlatformStateDecoder
 from citronpaddle.policy.extraload import ExtraLoad, ExtraLoadLimits
@@ -202,11 +203,12 @@
     """One instance's calls to the store.
 
     `fault` is None, "cut" (nothing passes), "silent" (calls are accepted and never answered),
-    "busy" (refused at once) or "reset" (refused, and pending calls end).
+    "busy" (refused at once) or "reset" (refused, and pending calls end). `calls` counts them all.
     """
 
     def __init__(self, store: SimulatedStore, draw: Callable[[], float]) -> None:
         self.fault: str | None = None
+        self.calls = 0
         self._store = store
         self._draw = draw
         self._cut = asyncio.Event()
@@ -245,6 +247,7 @@
         return result
 
     async def _arrive(self) -> None:
+        self.calls += 1
         await self._travel()
         await asyncio.sleep(self._store.delay_ms / 1_000)
         if self.fault == "busy":
@@ -337,8 +340,12 @@
         lease = await self._call(lambda: self._store.grant(ttl_ms, LoopClock().now_ms()))
         return lease if isinstance(lease, StoreFailure) else lease._replace(era=self._era)
 
-    async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
-        is_renewed = await self._call(lambda: self._store.renew(lease, LoopClock().now_ms()))
+    async def renew_lease(
+        self, lease: Lease, timeout_ms: float
+    ) -> Lease | LeaseEnded | StoreFailure:
+        is_renewed = await self._call(
+            lambda: self._store.renew(lease, LoopClock().now_ms()), timeout_ms
+        )
         if isinstance(is_renewed, StoreFailure):
             return is_renewed
         return lease if is_renewed and lease.era == self._era else LeaseEnded()
@@ -433,7 +440,10 @@
             log,
             draw,
             self.peering.review,
-            StoreCallTimes(watch_interval_ms=world.watch_interval_ms),
+            StoreCallTimes(
+                watch_interval_ms=world.watch_interval_ms,
+                watcher_interval_ms=world.watcher_interval_ms,
+            ),
             feed,
             self.peering.relay,
         )
@@ -469,6 +479,7 @@
     def __init__(self, seed: int, count: int, watch_interval_ms: float) -> None:
         self.random = RandomSource(seed)
         self.watch_interval_ms = watch_interval_ms
+        self.watcher_interval_ms = WATCHER_INTERVAL_SHARE / WATCH_INTERVAL_SHARE * watch_interval_ms
         self.store = SimulatedStore()
         self.network = Datagrams(self.random.random)
         self.log_descriptor = os.open(os.devnull, os.O_WRONLY)
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -200,10 +200,10 @@
         view = await store.read_all("")
         assert (view.era, store.era) == (3, 3)
         lease = await store.grant_lease(60_000.0)
-        assert await store.renew_lease(lease) == lease
+        assert await store.renew_lease(lease, 2_000.0) == lease
         standin.era = 4
         # The stand-in still knows the lease, as if its id had been given out again.
-        assert isinstance(await store.renew_lease(lease), LeaseEnded)
+        assert isinstance(await store.renew_lease(lease, 2_000.0), LeaseEnded)
         assert isinstance(await store.put("k", b"v", lease), LeaseEnded)
         watch = asyncio.ensure_future(store.watch("", view.revision + 10, 20_000))
         standin.era = 5
