Wait for the number of queries given up in answers.feature

Cause: the scenario ran for 8 s and then required 50 queries that were given up. On a machine with a load of 14 only 44 had been, of 276 in all: the verdict depended on the machine's speed.

Change: the queries go on after the 8 s until 50 have been given up. The checks of the answers and both counts are unchanged.

--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -10,6 +10,7 @@
   Scenario: stragglers and abandoned queries
     When queries run through all instances from 6 threads each, 1 in 5 given up
     And 8 s pass
+    And 50 queries have been given up
     And the queries stop
     Then at least 100 answers were complete
     And at least 50 queries were given up
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -35,6 +35,15 @@
     raise AssertionError(f"no complete answer of version {version} among {len(records)}")
 
 
+@step("{count:d} queries have been given up")
+def wait_for_abandoned(context, count):
+    """Wait until `count` queries were given up, however slow the machine is."""
+    end_s = time.monotonic() + 120
+    while context.traffic.abandoned_count < count:
+        assert time.monotonic() < end_s, context.traffic.abandoned_count
+        time.sleep(0.05)
+
+
 @step("{seconds:g} s pass")
 def wait(context, seconds):
     time.sleep(seconds)
