Refuse responses without a status line of HTTP/1.1

Cause: the parser accepts any three digits as a status, HTTP/0.9 and 2.0, and RTSP and ICE. Statuses 600 and above, and 200 of the other protocols, reached the caller as its answer, and as an answer of the product's own interface. 000 and 099 were taken for interim responses, so that the caller waited until its timeout.

Change: adapters/statusline checks the first bytes of each response, interim ones included, wherever they are cut. Such a response is garbled: a request that may run twice goes to another upstream, any other gets our 502. Both interfaces use the same connections.

--- a/citronpaddle/adapters/framing.py
+++ b/citronpaddle/adapters/framing.py
@@ -4,13 +4,26 @@
 
 # A head and a chunked body end with these bytes, which a parser that insists on CRLF accepts
 # nowhere else but inside the data of a chunk.
-_END = b"\r\n\r\n"
+END_OF_HEAD = b"\r\n\r\n"
 # A length with more digits is refused by the parser or exceeds every limit.
 _MAX_LENGTH_DIGITS = 18
 # Separators of a field line that the parser doesn't report: colon, space, CR and LF.
 _FIELD_SEPARATOR_BYTES = 4
 
 
+def find_end_of_head(tail: bytes, data: bytes, start: int) -> int:
+    """Return the place in `data` after the next end of a head, or -1.
+
+    The end may begin in `tail`, the bytes received before `data[start]`, which it must not contain.
+    """
+    if tail:
+        at = (tail + data[start : start + len(END_OF_HEAD) - 1]).find(END_OF_HEAD)
+        if at >= 0:
+            return start + at + len(END_OF_HEAD) - len(tail)
+    at = data.find(END_OF_HEAD, start)
+    return at + len(END_OF_HEAD) if at >= 0 else -1
+
+
 class MessageSizes:
     """Counts the bytes of one request: head and empty lines before it, body, framing, trailers.
 
@@ -48,20 +61,16 @@
         length = len(data)
         if self.is_head_complete and self.body_left_bytes:
             return min(length, start + self.body_left_bytes)
-        end = -1
-        if self._tail and start == 0:
-            at = (self._tail + data[: len(_END) - 1]).find(_END)
-            end = at + len(_END) - len(self._tail) if at >= 0 else -1
-        if end <= start:
-            at = data.find(_END, start)
-            end = at + len(_END) if at >= 0 else length
+        end = find_end_of_head(self._tail if start == 0 else b"", data, start)
+        if end < 0:
+            end = length
         if self.is_head_complete:
             return end
         return max(start, min(end, start + max_header_bytes - self._head_bytes))
 
     def keep_tail(self, data: bytes) -> None:
         """Keep the last bytes of a packet that the request does not end with."""
-        size = len(_END) - 1
+        size = len(END_OF_HEAD) - 1
         self._tail = data[-size:] if len(data) >= size else (self._tail + data)[-size:]
 
     def add_piece(self, size_bytes: int) -> None:
--- a/citronpaddle/adapters/httpclient.py
+++ b/citronpaddle/adapters/httpclient.py
@@ -14,6 +14,7 @@
 
 from ..clock import Clock
 from ..policy.buffers import ReceiveBudget
+from .statusline import StatusLineCheck, is_http_1
 
 # Time after which an unresponsive connection is closed: by keep-alive probes if it is idle, by
 # TCP_USER_TIMEOUT if sent bytes are not acknowledged.
@@ -101,6 +102,7 @@
         self._has_rejected_response = False
         self._head_bytes = 0
         self._has_final_head = False
+        self._status_line = StatusLineCheck()
         self._max_idle_ms = DEFAULT_MAX_IDLE_MS
         self.idle_since_ms = clock.now_ms()
         self._clear()
@@ -131,6 +133,7 @@
         self._is_head = is_head
         self._head_bytes = 0
         self._has_final_head = False
+        self._status_line.reset()
         self._transport.write(request)
 
     def close(self) -> None:
@@ -175,7 +178,7 @@
         if self._sink is None:
             return
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except httptools.HttpParserCallbackError:
             # An error of ours, not of the upstream: the event loop's handler logs it.
             self.give_up("internal_error")
@@ -193,6 +196,17 @@
         elif self._sink is None:
             self._on_idle(self)
 
+    def _feed(self, data: bytes) -> None:
+        """Feed the parser, and check each status line up to that of the final response."""
+        if self._has_final_head:
+            self._parser.feed_data(data)
+            return
+        start = 0
+        while start < len(data):
+            end = self._status_line.check(data, start)
+            self._parser.feed_data(data if end - start == len(data) else data[start:end])
+            start = end
+
     def give_up(self, reason: str) -> None:
         """Fail the request in progress and close the connection at once."""
         self._must_not_reuse = True
@@ -224,6 +238,10 @@
     def on_headers_complete(self) -> None:
         self._are_headers_complete = True
         self._status = self._parser.get_status_code()
+        if not is_http_1(self._status, self._parser.get_http_version()):
+            # A response that follows another one in the same packet has no check of its own bytes.
+            self.give_up("garbled")
+            return
         self._has_final_head = self._has_final_head or self._status >= 200
         if self._status in (204, 304):
             self._has_length = True
@@ -248,6 +266,8 @@
         if not sink.accept(response):
             # The response to this request may follow, but the connection is not reused after it.
             self._has_rejected_response = True
+            self._has_final_head = False
+            self._status_line.reset()
             if self._must_not_reuse:
                 self._fail("other_answer")
             return
