Move the statistics of an upstream to a module of their own

Change: policy/upstreamstats holds the statistics and the cost of a call; no decision changes. Result: test_exchange, test_hints and test_ratelimit pass.

--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -10,32 +10,12 @@
 from .ratelimit import RateLimits
 from .registry import Registry, Upstream
 from .slowstart import SlowStart
+from .upstreamstats import MAX_SLOWNESS, UpstreamStats
 
-# Weights of a new observation in the moving averages of an upstream's slowness and failure rate.
-_SLOWNESS_WEIGHT = 0.25
-_FAILURE_WEIGHT = 0.3
-# Half-life of an upstream's statistics; they decay so that a bad upstream is tried again.
-_HALF_LIFE_MS = 2_000.0
-# Upper bound of a slowness sample: a single slow reply predicts the next one poorly.
-_MAX_SLOWNESS = 8.0
 # Cost terms of a choice, in multiples of a baseline reply time.
-_OUTSTANDING_COST = 0.5
-_FAILURE_COST = 8.0
 _COLD_COST = 0.6
 # Round trip to another failure domain; traffic between domains is also charged for.
 _REMOTE_DOMAIN_COST = 0.8
-_OVERDUE_COST = 6.0
-# How long another instance's report of a late call counts: a pause ends after a few hundred ms, and
-# the next late call is reported again.
-_PEER_LATE_MS = 120.0
-# Minimum interval between slow replies reported by peers: all calls delayed by one pause get
-# their replies together and count once, while a slow upstream keeps sending slow replies.
-_PEER_REPLY_INTERVAL_MS = 300.0
-# How long an unreachable or unresponsive upstream is avoided; it doubles with each failure.
-_FIRST_BLOCK_MS = 250.0
-_MAX_BLOCK_MS = 2_000.0
-# Cost added to an upstream that is avoided after failed calls.
-_BLOCKED_COST = 100.0
 # Upper bound of the random cost that decides between upstreams of nearly equal cost.
 _TIE_BREAK_COST = 0.1
 # Weight of a new sample in the baseline latency, and the bound of a sample as a multiple of it.
@@ -60,42 +40,6 @@
     at_ms: float
 
 
-class UpstreamStats:
-    """Statistics of one upstream: slowness, failure rate, open calls and peer reports."""
-
-    __slots__ = (
-        "blocked_until_ms",
-        "block_ms",
-        "failure_rate",
-        "updated_ms",
-        "open_sent_ms",
-        "peer_reply_ms",
-        "peer_late_until_ms",
-        "slowness",
-    )
-
-    def __init__(self) -> None:
-        self.slowness = 1.0
-        self.failure_rate = 0.0
-        self.updated_ms = 0.0
-        self.blocked_until_ms = 0.0
-        self.block_ms = 0.0
-        self.peer_reply_ms = 0.0
-        self.peer_late_until_ms = 0.0
-        # Send time in ms by open call, oldest first.
-        self.open_sent_ms: dict[int, float] = {}
-
-    def decay(self, now_ms: float) -> None:
-        """Decay slowness and failure rate by the time since the last update."""
-        elapsed_ms = now_ms - self.updated_ms
-        if elapsed_ms <= 0:
-            return
-        factor = 0.5 ** (elapsed_ms / _HALF_LIFE_MS)
-        self.slowness = 1.0 + (self.slowness - 1.0) * factor
-        self.failure_rate *= factor
-        self.updated_ms = now_ms
-
-
 class Selector:
     """Chooses the upstream with the lowest expected time to a reply; tracks open calls."""
 
@@ -232,25 +176,13 @@
     def _estimate_cost(
         self, upstream: Upstream, now_ms: float, late_threshold_ms: float
     ) -> tuple[float, bool]:
-        stats = self._stats.get(upstream.id)
         cost = _COLD_COST if upstream.cold_until_ms > now_ms else 0.0
         if upstream.domain != self._domain:
             cost += _REMOTE_DOMAIN_COST
+        stats = self._stats.get(upstream.id)
         if stats is None:
             return 1.0 + cost, True
-        stats.decay(now_ms)
-        cost += stats.slowness + _FAILURE_COST * stats.failure_rate
-        outstanding = len(stats.open_sent_ms)
-        if outstanding:
-            cost *= 1.0 + _OUTSTANDING_COST * outstanding / max(1, upstream.slots)
-            oldest_ms = next(iter(stats.open_sent_ms.values()))
-            if now_ms - oldest_ms > late_threshold_ms:
-                return cost + _OVERDUE_COST, stats.blocked_until_ms <= now_ms
-        if stats.peer_late_until_ms > now_ms:
-            cost += _OVERDUE_COST
-        if stats.blocked_until_ms > now_ms:
-            return cost + _BLOCKED_COST, False
-        return cost, True
+        return stats.estimate_cost(cost, upstream.slots, now_ms, late_threshold_ms)
 
     def record_sent(
         self, upstream: Upstream, call_id: int, now_ms: float, is_reserved: bool = False
@@ -277,15 +209,10 @@
         # A few very slow replies must not shift the baseline.
         bounded_ms = min(latency_ms, _BASELINE_SAMPLE_BOUND * baseline_ms)
         self._baseline_ms[group] = baseline_ms + _BASELINE_WEIGHT * (bounded_ms - baseline_ms)
-        stats.decay(now_ms)
-        slowness = min(_MAX_SLOWNESS, latency_ms / max(1.0, baseline_ms))
-        stats.slowness += _SLOWNESS_WEIGHT * (slowness - stats.slowness)
-        stats.failure_rate -= _FAILURE_WEIGHT * stats.failure_rate
-        if stats.block_ms > 0:
+        slowness = min(MAX_SLOWNESS, latency_ms / max(1.0, baseline_ms))
+        if stats.record_reply(slowness, now_ms):
             # It may have restarted at any time since the last call.
             self._mark_possibly_cold(upstream_id, now_ms)
-        stats.block_ms = 0.0
-        stats.blocked_until_ms = 0.0
         return slowness
 
     def record_failure(
@@ -295,12 +222,9 @@
         stats, _ = self._close_call(upstream_id, call_id, now_ms)
         if stats is None:
             return
-        stats.decay(now_ms)
-        stats.failure_rate += _FAILURE_WEIGHT * (1.0 - stats.failure_rate)
+        stats.record_failure(now_ms, is_unreachable)
         if is_unreachable:
             self._mark_possibly_cold(upstream_id, now_ms)
-            stats.block_ms = min(_MAX_BLOCK_MS, max(_FIRST_BLOCK_MS, 2 * stats.block_ms))
-            stats.blocked_until_ms = now_ms + stats.block_ms
 
     def _mark_possibly_cold(self, upstream_id: str, now_ms: float) -> None:
         """Mark an unreachable upstream as cold: it may restart before its entry is updated.
@@ -341,8 +265,7 @@
         """Record a cancelled call; one open for longer than `late_threshold_ms` counts as slow."""
         stats, latency_ms = self._close_call(upstream_id, call_id, now_ms)
         if stats is not None and latency_ms > late_threshold_ms:
-            stats.decay(now_ms)
-            stats.slowness += _SLOWNESS_WEIGHT * (_MAX_SLOWNESS - stats.slowness)
+            stats.record_slow_call(now_ms)
 
     def count_calls(self) -> tuple[int, int]:
         """Return the calls since the previous count and the number of upstreams with statistics."""
@@ -356,18 +279,11 @@
 
     def record_peer_late(self, upstream_id: str, now_ms: float) -> None:
         """Record that another instance has a late call to the upstream."""
-        self._get_or_create_stats(upstream_id, now_ms).peer_late_until_ms = now_ms + _PEER_LATE_MS
+        self._get_or_create_stats(upstream_id, now_ms).record_peer_late(now_ms)
 
     def record_peer_reply(self, upstream_id: str, slowness: float, now_ms: float) -> None:
         """Record the final slowness of another instance's late call."""
-        stats = self._get_or_create_stats(upstream_id, now_ms)
-        stats.peer_late_until_ms = 0.0
-        if now_ms < stats.peer_reply_ms + _PEER_REPLY_INTERVAL_MS:
-            return
-        stats.peer_reply_ms = now_ms
-        stats.decay(now_ms)
-        bounded = max(0.0, min(_MAX_SLOWNESS, slowness))
-        stats.slowness += _SLOWNESS_WEIGHT * (bounded - stats.slowness)
+        self._get_or_create_stats(upstream_id, now_ms).record_peer_reply(slowness, now_ms)
 
     def remove_upstream(self, upstream_id: str) -> None:
         """Remove the statistics of an upstream that is no longer listed."""
@@ -378,8 +294,7 @@
     def _get_or_create_stats(self, upstream_id: str, now_ms: float) -> UpstreamStats:
         stats = self._stats.get(upstream_id)
         if stats is None:
-            stats = self._stats[upstream_id] = UpstreamStats()
-            stats.updated_ms = now_ms
+            stats = self._stats[upstream_id] = UpstreamStats(now_ms)
         return stats
 
     def _close_call(
