Pace upstreams that start or recover by how they answer

Cause: a starting upstream had a fixed extra cost for its whole warm-up time, and one that was unreachable kept its failure rate for seconds after it answered again, at each instance on its own. Change: policy/pace finds the concurrency of such an upstream from replies, rejections and failures; instances share it by hints. A call beyond it costs more; nothing is refused. After an outage, all instances together make about two probes a second.

--- a/citronpaddle/adapters/eventlog.py
+++ b/citronpaddle/adapters/eventlog.py
@@ -40,6 +40,7 @@
     CHANGE_REFUSED = "change_refused"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_LIMITED = "upstream_limited"
+    UPSTREAM_PACED = "upstream_paced"
     DOMAINS_OUT = "domains_out"
     INSTANCES_CHANGED = "instances_changed"
     REQUEST_ENDED = "request_ended"
--- a/citronpaddle/explanation.py
+++ b/citronpaddle/explanation.py
@@ -17,6 +17,7 @@
         "upstream_listed",
         "upstream_gone",
         "upstream_limited",
+        "upstream_paced",
         "stopping",
     }
 )
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -356,6 +356,7 @@
             "state_age_seconds": (now_ms - self.state.confirmed_ms) / 1_000,
             "upstreams": len(self.state.registry),
             "upstreams_limited": self._selector.count_limited(),
+            "upstreams_paced": len(self._selector.paces),
             "instances": len(self.state.members.list_names()),
             "requests_in_progress": self.connections.count_busy(),
             "timer_lateness_seconds": self._peering.loop_lag_ms / 1_000,
--- a/citronpaddle/hints.thrift
+++ b/citronpaddle/hints.thrift
@@ -10,6 +10,11 @@
   LIMITED = 2,
   /** The upstream no longer names a rate limit. */
   UNLIMITED = 3,
+  /**
+   * The upstream is starting or recovering, and all instances together should have `value` calls
+   * in progress there; as many as its slots or more end this.
+   */
+  PACED = 4,
 }
 
 struct Hint {
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -12,6 +12,7 @@
 from .policy.feed import WATCHER_COUNT, Feed, FeedBatch, split_changes
 from .policy.hints import BATCHING_DELAY_MS, Hint, HintKind, Hints
 from .policy.members import Member
+from .policy.pace import PaceChange, PaceEnd
 from .policy.selection import Selector
 from .policy.slowstart import SlowStart
 from .sharedstate import SharedState
@@ -55,6 +56,7 @@
         self._feed = feed
         self._on_feed = on_feed
         self._selector = selector
+        selector.paces.on_change = self._handle_pace_change
         self._extra_load = extra_load
         self._slow_start = slow_start
         self._active = ActiveSet()
@@ -156,6 +158,19 @@
         if message.feed is not None:
             self._on_feed(message.sender, message.feed)
 
+    def _handle_pace_change(self, change: PaceChange) -> None:
+        """Log a pace that this instance has found, and send it to the others unless it expired."""
+        self._log.write(
+            Event.UPSTREAM_PACED,
+            "peering",
+            service=change.upstream.service,
+            upstream=change.upstream.id,
+            concurrency=None if change.end else round(change.concurrency, 2),
+            end=change.end.value if change.end else None,
+        )
+        if change.end is not PaceEnd.EXPIRED:
+            self.hints.record_pace(change.upstream.id, change.concurrency)
+
     def _log_peer_limit(self, sender: str, hint: Hint) -> None:
         is_limited = hint.kind is HintKind.LIMITED
         self._log.write(
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -350,7 +350,7 @@
         # A rate-limited upstream has no room for calls that only reduce latency.
         avoid = [*part.tried, *selector.list_limited_ids(part.service)]
         choice = selector.choose(part.service, now_ms, self._late_threshold_ms, avoid)
-        if choice is None or not choice.is_healthy:
+        if choice is None or not choice.is_healthy or not choice.is_within_pace:
             return
         if self._dependencies.extra_load.spend(part.service, now_ms, True):
             self._send(index, choice.upstream, now_ms, "hedge", actions)
--- a/citronpaddle/policy/hints.py
+++ b/citronpaddle/policy/hints.py
@@ -1,4 +1,4 @@
-"""Hints: reports of slow or rate-limited upstreams that instances send to each other.
+"""Hints: reports of slow, rate-limited or starting upstreams that instances send to each other.
 
 The first call that a paused upstream delays reveals the pause; a hint lets the other instances send
 their calls elsewhere within milliseconds. Hints are short-lived: a lost or late one does no harm,
@@ -26,12 +26,13 @@
 
 
 class HintKind(IntEnum):
-    """What a hint reports: a late call, the reply to one, or a rate limit that begins or ends."""
+    """What a hint reports: a late call, the reply to one, a rate limit or a pace."""
 
     LATE = 0
     ANSWERED = 1
     LIMITED = 2
     UNLIMITED = 3
+    PACED = 4
 
 
 # The kinds that are sent when they occur, however rarely; the others come regularly.
@@ -41,7 +42,8 @@
 class Hint(NamedTuple):
     """One observation.
 
-    `value` is an age in ms, a latency as a multiple of the baseline, or a limit in requests/s.
+    `value` is an age in ms, a latency as a multiple of the baseline, a limit in requests/s, or a
+    number of concurrent calls.
     """
 
     kind: HintKind
@@ -54,12 +56,13 @@
 
     def __init__(self, selector: Selector, schedule: Callable[[], None]) -> None:
         """Set `schedule`, which is called when there is a batch to be sent."""
-        # Whether late calls and their replies are reported.
+        # Whether late calls, their replies and paces are reported.
         self.is_enabled = False
         self._selector = selector
         self._schedule = schedule
         self._pending: dict[str, Hint] = {}
         self._pending_limits: dict[str, Hint] = {}
+        self._pending_paces: dict[str, Hint] = {}
 
     def record_late(self, upstream: str, age_ms: float, now_ms: float) -> None:
         """Add a hint that a call to `upstream` is late, unless a peer has just reported one."""
@@ -79,18 +82,24 @@
             hint = Hint(HintKind.LIMITED, upstream, limit_per_s)
         self._add(self._pending_limits, hint)
 
+    def record_pace(self, upstream: str, concurrency: float) -> None:
+        """Add a hint with the new pace of `upstream`, which this instance has found."""
+        if self.is_enabled:
+            self._add(self._pending_paces, Hint(HintKind.PACED, upstream, concurrency))
+
     def pop_pending(self) -> list[Hint]:
-        """Return up to `MAX_HINTS` hints, the newest of each upstream, limits first.
+        """Return up to `MAX_HINTS` hints, the newest of each upstream, limits first, then paces.
 
         The limits beyond that stay for the next batch; other hints would be outdated by then.
         """
         limits = list(self._pending_limits.values())[:MAX_HINTS]
         others, self._pending = self._pending, {}
+        paces, self._pending_paces = self._pending_paces, {}
         for hint in limits:
             del self._pending_limits[hint.upstream]
         if self._pending_limits:
             self._schedule()
-        return [*limits, *others.values()][:MAX_HINTS]
+        return [*limits, *paces.values(), *others.values()][:MAX_HINTS]
 
     def apply(self, hints: Iterable[Hint], now_ms: float) -> list[Hint]:
         """Apply the hints of another instance; return those that changed a limit."""
@@ -100,10 +109,16 @@
                 self._selector.record_peer_late(hint.upstream, now_ms)
             elif hint.kind is HintKind.ANSWERED:
                 self._selector.record_peer_reply(hint.upstream, hint.value, now_ms)
+            elif hint.kind is HintKind.PACED:
+                self._apply_pace(hint, now_ms)
             elif self._apply_limit(hint, now_ms):
                 changed.append(hint)
         return changed
 
+    def _apply_pace(self, hint: Hint, now_ms: float) -> None:
+        if 0.0 < hint.value < inf:
+            self._selector.record_peer_pace(hint.upstream, hint.value, now_ms)
+
     def _apply_limit(self, hint: Hint, now_ms: float) -> bool:
         limit_per_s = hint.value if hint.kind is HintKind.LIMITED else None
         if limit_per_s is not None and not 0.0 <= limit_per_s < inf:
@@ -121,6 +136,6 @@
             )
 
     def _add(self, pending: dict[str, Hint], hint: Hint) -> None:
-        if not self._pending and not self._pending_limits:
+        if not self._pending and not self._pending_limits and not self._pending_paces:
             self._schedule()
         pending[hint.upstream] = hint
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from .catalog import ServiceLimits
+from .pace import INITIAL_CONCURRENCY, Paces
 from .ratelimit import RateLimits
 from .registry import Registry, Upstream
 from .slowstart import SlowStart
@@ -27,10 +28,14 @@
 
 
 class Choice(NamedTuple):
-    """A chosen upstream; `is_healthy` is false while it is avoided after failed calls."""
+    """A chosen upstream; `is_healthy` is false while it is avoided after failed calls.
+
+    `is_within_pace` is false if the call exceeds the pace at which the upstream starts or recovers.
+    """
 
     upstream: Upstream
     is_healthy: bool
+    is_within_pace: bool = True
 
 
 class Reservation(NamedTuple):
@@ -59,17 +64,21 @@
         self._domain = domain
         self._stats: dict[str, UpstreamStats] = {}
         self._baseline_ms: dict[str, float] = {}
+        self._share = 1.0
         self._connection_share = 1.0
         self._rate_limits = RateLimits(draw)
+        self.paces = Paces()
         self._call_count = 0
 
     def set_share(self, share: float, is_recently_started: bool) -> None:
-        """Set the share (0 to 1) of every upstream's connections and rate that this instance uses.
+        """Set the share (0 to 1) of each upstream's connections, rate and pace for this instance.
 
         That of the connections is halved while this instance `is_recently_started`: upstreams may
         still hold connections of its predecessor.
         """
+        self._share = share
         self._rate_limits.set_share(share)
+        self.paces.set_share(share)
         self._connection_share = share / 2 if is_recently_started else share
 
     def is_listed(self, service: str) -> bool:
@@ -96,8 +105,10 @@
                 continue
             cost, is_healthy = self._estimate_cost(upstream, now_ms, late_threshold_ms)
             cost += _TIE_BREAK_COST * self._draw()
+            pace_factor = self._find_pace_factor(upstream, now_ms)
+            cost *= pace_factor
             if best is None or cost < best_cost:
-                best, best_cost = Choice(upstream, is_healthy), cost
+                best, best_cost = Choice(upstream, is_healthy, pace_factor == 1.0), cost
         return best
 
     def reserve(
@@ -173,10 +184,17 @@
             return self._slow_start.permit(upstream.id, limits.cold_rate_per_s, now_ms)
         return True
 
+    def _find_pace_factor(self, upstream: Upstream, now_ms: float) -> float:
+        stats = self._stats.get(upstream.id)
+        return self.paces.find_factor(upstream, len(stats.open_sent_ms) if stats else 0, now_ms)
+
     def _estimate_cost(
         self, upstream: Upstream, now_ms: float, late_threshold_ms: float
     ) -> tuple[float, bool]:
-        cost = _COLD_COST if upstream.cold_until_ms > now_ms else 0.0
+        cost = 0.0
+        if upstream.cold_until_ms > now_ms:
+            excess = self.paces.estimate_excess(upstream.id)
+            cost = _COLD_COST if excess is None else excess
         if upstream.domain != self._domain:
             cost += _REMOTE_DOMAIN_COST
         stats = self._stats.get(upstream.id)
@@ -192,6 +210,7 @@
         if not is_reserved:
             self._rate_limits.take_permit(upstream.id, now_ms)
         self._get_or_create_stats(upstream.id, now_ms).open_sent_ms[call_id] = now_ms
+        self.paces.record_sent(upstream, now_ms)
         if upstream.cold_until_ms > now_ms:
             limits = self._get_limits(upstream.service)
             rate_per_s = limits.cold_rate_per_s if limits else 0.0
@@ -210,9 +229,17 @@
         bounded_ms = min(latency_ms, _BASELINE_SAMPLE_BOUND * baseline_ms)
         self._baseline_ms[group] = baseline_ms + _BASELINE_WEIGHT * (bounded_ms - baseline_ms)
         slowness = min(MAX_SLOWNESS, latency_ms / max(1.0, baseline_ms))
-        if stats.record_reply(slowness, now_ms):
+        has_recovered = stats.record_reply(slowness, now_ms)
+        upstream = self._registry.get(upstream_id)
+        if upstream is None:
+            return slowness
+        if has_recovered:
             # It may have restarted at any time since the last call.
             self._mark_possibly_cold(upstream_id, now_ms)
+            if self._has_warm_up(upstream):
+                stats.record_recovery()
+                self.paces.begin(upstream, now_ms - latency_ms)
+        self.paces.record_reply(upstream, slowness, latency_ms, now_ms)
         return slowness
 
     def record_failure(
@@ -223,9 +250,19 @@
         if stats is None:
             return
         stats.record_failure(now_ms, is_unreachable)
+        upstream = self._registry.get(upstream_id)
+        if upstream is not None:
+            self.paces.record_failure(upstream, now_ms)
+            if is_unreachable and self._has_warm_up(upstream):
+                stats.schedule_probe(self._share, self._draw())
         if is_unreachable:
             self._mark_possibly_cold(upstream_id, now_ms)
 
+    def _has_warm_up(self, upstream: Upstream) -> bool:
+        """Return whether the upstream's service states that its upstreams start cold."""
+        limits = self._get_limits(upstream.service)
+        return limits is not None and limits.cold_ms > 0
+
     def _mark_possibly_cold(self, upstream_id: str, now_ms: float) -> None:
         """Mark an unreachable upstream as cold: it may restart before its entry is updated.
 
@@ -285,11 +322,22 @@
         """Record the final slowness of another instance's late call."""
         self._get_or_create_stats(upstream_id, now_ms).record_peer_reply(slowness, now_ms)
 
+    def record_peer_pace(self, upstream_id: str, concurrency: float, now_ms: float) -> None:
+        """Adopt the pace that another instance has found, also for an upstream avoided here."""
+        upstream = self._registry.get(upstream_id)
+        if upstream is None:
+            return
+        self.paces.record_peer_pace(upstream, concurrency, now_ms)
+        stats = self._stats.get(upstream_id)
+        if stats is not None and stats.block_ms > 0 and concurrency >= INITIAL_CONCURRENCY:
+            stats.record_recovery()
+
     def remove_upstream(self, upstream_id: str) -> None:
         """Remove the statistics of an upstream that is no longer listed."""
         self._stats.pop(upstream_id, None)
         self._slow_start.remove_upstream(upstream_id)
         self._rate_limits.remove_upstream(upstream_id)
+        self.paces.remove_upstream(upstream_id)
 
     def _get_or_create_stats(self, upstream_id: str, now_ms: float) -> UpstreamStats:
         stats = self._stats.get(upstream_id)
--- a/citronpaddle/policy/upstreamstats.py
+++ b/citronpaddle/policy/upstreamstats.py
@@ -3,6 +3,8 @@
 Times are in ms on one monotonic clock; costs are in multiples of a baseline reply time.
 """
 
+from math import inf
+
 # Weights of a new observation in the moving averages of an upstream's slowness and failure rate.
 _SLOWNESS_WEIGHT = 0.25
 _FAILURE_WEIGHT = 0.3
@@ -10,6 +12,9 @@
 _HALF_LIFE_MS = 2_000.0
 # Upper bound of a slowness sample: a single slow reply predicts the next one poorly.
 MAX_SLOWNESS = 8.0
+# Interval at which all instances together call an upstream whose avoidance after failures has
+# ended, as if it had not failed.
+_PROBE_INTERVAL_MS = 500.0
 _OUTSTANDING_COST = 0.5
 _FAILURE_COST = 8.0
 _OVERDUE_COST = 6.0
@@ -37,6 +42,7 @@
         "open_sent_ms",
         "peer_reply_ms",
         "peer_late_until_ms",
+        "probe_ms",
         "slowness",
     )
 
@@ -48,6 +54,8 @@
         self.block_ms = 0.0
         self.peer_reply_ms = 0.0
         self.peer_late_until_ms = 0.0
+        # When a call is due that shows whether the upstream has recovered.
+        self.probe_ms = inf
         # Send time in ms by open call, oldest first.
         self.open_sent_ms: dict[int, float] = {}
 
@@ -56,7 +64,9 @@
     ) -> tuple[float, bool]:
         """Return `base_cost` plus the cost of a call, and whether the upstream is not avoided."""
         self.decay(now_ms)
-        cost = base_cost + self.slowness + _FAILURE_COST * self.failure_rate
+        cost = base_cost + self.slowness
+        if now_ms < self.probe_ms:
+            cost += _FAILURE_COST * self.failure_rate
         outstanding = len(self.open_sent_ms)
         if outstanding:
             cost *= 1.0 + _OUTSTANDING_COST * outstanding / max(1, slots)
@@ -85,10 +95,14 @@
         self._add_slowness(slowness)
         self.failure_rate -= _FAILURE_WEIGHT * self.failure_rate
         has_recovered = self.block_ms > 0
-        self.block_ms = 0.0
-        self.blocked_until_ms = 0.0
+        self._end_block()
         return has_recovered
 
+    def record_recovery(self) -> None:
+        """End the avoidance after failures: they no longer describe the upstream."""
+        self.failure_rate = 0.0
+        self._end_block()
+
     def record_failure(self, now_ms: float, is_unreachable: bool) -> None:
         """Record a failed call; an unreachable upstream is avoided for a backoff period."""
         self.decay(now_ms)
@@ -97,6 +111,13 @@
             self.block_ms = min(_MAX_BLOCK_MS, max(_FIRST_BLOCK_MS, 2 * self.block_ms))
             self.blocked_until_ms = now_ms + self.block_ms
 
+    def schedule_probe(self, share: float, draw: float) -> None:
+        """Schedule the call that shows a recovery; `draw`, from 0 to 1, spreads the instances.
+
+        `share` (above 0, up to 1) is this instance's share of the calls of all instances.
+        """
+        self.probe_ms = self.blocked_until_ms + draw * _PROBE_INTERVAL_MS / share
+
     def record_slow_call(self, now_ms: float) -> None:
         """Record a call that was cancelled because it was slow."""
         self.decay(now_ms)
@@ -115,5 +136,10 @@
         self.decay(now_ms)
         self._add_slowness(max(0.0, slowness))
 
+    def _end_block(self) -> None:
+        self.block_ms = 0.0
+        self.blocked_until_ms = 0.0
+        self.probe_ms = inf
+
     def _add_slowness(self, slowness: float) -> None:
         self.slowness += _SLOWNESS_WEIGHT * (min(MAX_SLOWNESS, slowness) - self.slowness)
