--- a/citronpaddle/policy/callertimes.py
+++ b/citronpaddle/policy/callertimes.py
@@ -12,6 +12,9 @@
 # time, and within which tolerance: callers round it, and one that waits longer proves nothing.
 STATEMENT_COUNT = 32
 MIN_AGREEING = 2
+# With fewer statements the longest one counts: an instance that has just started has only a few,
+# and its callers have just looked it up.
+MIN_STATEMENTS_TO_AGREE = 8
 AGREEMENT_TOLERANCE_MS = 2.0
 # A request that appears to have lost more of its objective than this is a retry after a refusal,
 # whose objective starts again, or its caller waits less long than others.
@@ -51,6 +54,8 @@
 def _find_full_time_ms(stated: deque[float]) -> float:
     """Return the longest time on which enough callers agree, or 0 without one."""
     longest_first = sorted(stated, reverse=True)
+    if len(stated) < MIN_STATEMENTS_TO_AGREE:
+        return longest_first[0]
     last = MIN_AGREEING - 1
     for longest_ms, agreeing_ms in zip(longest_first, longest_first[last:], strict=False):
         if longest_ms - agreeing_ms <= AGREEMENT_TOLERANCE_MS:
