Probe a recovered upstream only where the others are under strain

Change: when a probe is due, past failures cost half a reply time at most instead of nothing, so that an idle replica nearby goes first; all instances together may probe four times a second.

--- a/citronpaddle/policy/upstreamstats.py
+++ b/citronpaddle/policy/upstreamstats.py
@@ -12,12 +12,14 @@
 _HALF_LIFE_MS = 2_000.0
 # Upper bound of a slowness sample: a single slow reply predicts the next one poorly.
 MAX_SLOWNESS = 8.0
-# Interval at which all instances together call an upstream whose avoidance after failures has
-# ended, as if it had not failed.
-_PROBE_INTERVAL_MS = 500.0
 _OUTSTANDING_COST = 0.5
 _FAILURE_COST = 8.0
 _OVERDUE_COST = 6.0
+# The most that past failures cost when a call is due that shows a recovery. It is made where the
+# other upstreams are busy, slow or few, and not while they answer as usual.
+_PROBE_COST = 0.5
+# Interval of such calls, of all instances together.
+_PROBE_INTERVAL_MS = 250.0
 # Cost added to an upstream that is avoided after failed calls.
 _BLOCKED_COST = 100.0
 # How long another instance's report of a late call counts: a pause ends after a few hundred ms, and
@@ -64,9 +66,10 @@
     ) -> tuple[float, bool]:
         """Return `base_cost` plus the cost of a call, and whether the upstream is not avoided."""
         self.decay(now_ms)
-        cost = base_cost + self.slowness
-        if now_ms < self.probe_ms:
-            cost += _FAILURE_COST * self.failure_rate
+        failure_cost = _FAILURE_COST * self.failure_rate
+        if now_ms >= self.probe_ms:
+            failure_cost = min(failure_cost, _PROBE_COST)
+        cost = base_cost + self.slowness + failure_cost
         outstanding = len(self.open_sent_ms)
         if outstanding:
             cost *= 1.0 + _OUTSTANDING_COST * outstanding / max(1, slots)
