Log how much of a request's objective passes outside an instance

Cause: a partial answer long before its objective can't be told from a fault without knowing what its caller had spent already. Result: test_gateway and test_eventlog pass.

--- a/citronpaddle/requestlog.py
+++ b/citronpaddle/requestlog.py
@@ -57,6 +57,7 @@
             version=version,
             outcome=label,
             took_ms=round(took_ms, 1),
+            outside_ms=round(request.outside_ms, 1),
             calls=dict(runner.reasons) if runner else {},
             state_age_ms=self._compute_state_age_ms(),
             **fields,
