--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -71,7 +71,8 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._keeps_alive = True
         self._has_completed = False
-        self._is_first = True
+        # Whether no request of this connection has been answered yet.
+        self.is_first = True
         self._is_closed = False
         self._is_reading_paused = False
         self._is_writing_paused = False
@@ -275,7 +276,7 @@
             return
         self.is_busy = False
         self.exchange = None
-        self._is_first = False
+        self.is_first = False
         self._idle_since_ms = self._clock.now_ms()
         closes_connection = not self._keeps_alive or self._connections.is_closing
         self._transport.write(format_answer(answer, closes_connection, self._is_head_request))
@@ -294,10 +295,7 @@
         self.answer(answer)
 
     def estimate_round_trip_ms(self) -> float | None:
-        """Return the network time of this request and its answer in ms, or None if unknown.
-
-        The caller measures from before it connects, so the first request takes one round trip more.
-        """
+        """Return the network time of a request and its answer in ms, or None if unknown."""
         sock = self._transport.get_extra_info("socket")
         try:
             info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
@@ -305,8 +303,7 @@
             return None
         if len(info) < _ROUND_TRIP_OFFSET_BYTES + _ROUND_TRIP_US.size:
             return None
-        round_trip_ms = _ROUND_TRIP_US.unpack_from(info, _ROUND_TRIP_OFFSET_BYTES)[0] / 1_000
-        return round_trip_ms * (2 if self._is_first else 1)
+        return _ROUND_TRIP_US.unpack_from(info, _ROUND_TRIP_OFFSET_BYTES)[0] / 1_000
 
     def close_overdue(self, now_ms: float) -> None:
         """Close the connection if its request or its next request is overdue."""
