Bound what datagrams make an instance keep

Cause: a datagram may name any sender and any upstream, and each new name was kept: the loop lag for 10 s, the time of a batch and statistics of an upstream without end.

Change: 4,096 senders at most; hints on upstreams that are not listed are ignored; the decoder refuses lists that are longer than the datagram.

Result: test_datagrams_of_unknown_senders_hold_bounded_memory passes.

--- a/citronpaddle/adapters/hintchannel.py
+++ b/citronpaddle/adapters/hintchannel.py
@@ -57,7 +57,11 @@
     message = ttypes.Message()
     try:
         message.read(
-            TBinaryProtocolAccelerated(TMemoryBuffer(data), string_length_limit=MAX_DATAGRAM_BYTES)
+            TBinaryProtocolAccelerated(
+                TMemoryBuffer(data),
+                string_length_limit=MAX_DATAGRAM_BYTES,
+                container_length_limit=MAX_DATAGRAM_BYTES,
+            )
         )
         hints = tuple(
             Hint(HintKind(item.kind), str(item.upstream), float(item.value))
@@ -86,7 +90,9 @@
         changes = ttypes.Changes()
         changes.read(
             TBinaryProtocolAccelerated(
-                TMemoryBuffer(data), string_length_limit=MAX_DECOMPRESSED_BYTES
+                TMemoryBuffer(data),
+                string_length_limit=MAX_DECOMPRESSED_BYTES,
+                container_length_limit=MAX_DECOMPRESSED_BYTES,
             )
         )
         items = tuple(
--- a/citronpaddle/policy/active.py
+++ b/citronpaddle/policy/active.py
@@ -30,6 +30,8 @@
 REPORT_TIMEOUT_MS = 1_600.0
 # A report is dropped after this time: its instance may no longer be in use.
 REPORT_RETENTION_MS = 10_000.0
+# Reports of at most this many senders are kept, since a datagram may name any sender.
+MAX_REPORTS = 4_096
 # Interval between changes of the number of instances: callers follow with a delay.
 REVIEW_INTERVAL_MS = 1_000.0
 # The set grows when at least one in this many reporting instances in use is overloaded.
@@ -63,7 +65,8 @@
 
     def record_loop_lag(self, name: str, loop_lag_ms: float, now_ms: float) -> None:
         """Record the event loop lag reported by an instance, which also proves it alive."""
-        self._reports[name] = (now_ms, loop_lag_ms)
+        if name in self._reports or len(self._reports) < MAX_REPORTS:
+            self._reports[name] = (now_ms, loop_lag_ms)
 
     def choose(self, members: Iterable[Member]) -> list[Member]:
         """Return the members in use."""
--- a/citronpaddle/policy/feed.py
+++ b/citronpaddle/policy/feed.py
@@ -21,6 +21,8 @@
 # changes. A watch that is older, with a margin for a slow answer, may never be answered although
 # the watcher's other store calls are.
 MAX_WATCH_AGE_MS = 2_200.0
+# Batches of at most this many senders are remembered, since a datagram may name any sender.
+MAX_SENDERS = 4_096
 # Compression shrinks upstream entries to a quarter and configurations to a tenth, so a batch of
 # this size fits a datagram of 8 KiB. Of more batches, some would be lost on a weak link; each
 # instance reads such large changes itself.
@@ -113,7 +115,8 @@
 
     def record_batch(self, sender: str, batch: FeedBatch, now_ms: float) -> None:
         """Record a batch from `sender`; its watch must have been answered recently to count."""
-        if batch.age_ms <= MAX_WATCH_AGE_MS:
+        is_known = sender in self._received_ms or len(self._received_ms) < MAX_SENDERS
+        if batch.age_ms <= MAX_WATCH_AGE_MS and is_known:
             self._received_ms[sender] = now_ms
         else:
             self._received_ms.pop(sender, None)
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -355,11 +355,15 @@
         return stats is not None and stats.peer_late_until_ms > now_ms
 
     def record_peer_late(self, upstream_id: str, now_ms: float) -> None:
-        """Record that another instance has a late call to the upstream."""
+        """Record that another instance has a late call to the upstream, if that is listed."""
+        if self._registry.get(upstream_id) is None:
+            return
         self._get_or_create_stats(upstream_id, now_ms).peer_late_until_ms = now_ms + _PEER_LATE_MS
 
     def record_peer_reply(self, upstream_id: str, slowness: float, now_ms: float) -> None:
-        """Record the final slowness of another instance's late call."""
+        """Record the final slowness of another instance's late call to a listed upstream."""
+        if self._registry.get(upstream_id) is None:
+            return
         stats = self._get_or_create_stats(upstream_id, now_ms)
         stats.peer_late_until_ms = 0.0
         if now_ms < stats.peer_reply_ms + _PEER_REPLY_INTERVAL_MS:
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -1,14 +1,21 @@
 """Hints between instances about upstreams, and the selection of the instances in use."""
 
 import math
+import tracemalloc
 
 from exchanges import ExchangeSimulation, make_single_route, make_upstream, succeed
 from hypothesis import given
 from hypothesis import strategies as st
 
 from citronpaddle.adapters.hintchannel import PeerMessage, decode, encode
-from citronpaddle.policy.active import REPORT_TIMEOUT_MS, SMALL_DOMAIN, STABLE_PERIOD_MS, ActiveSet
-from citronpaddle.policy.feed import FeedBatch
+from citronpaddle.policy.active import (
+    MAX_REPORTS,
+    REPORT_TIMEOUT_MS,
+    SMALL_DOMAIN,
+    STABLE_PERIOD_MS,
+    ActiveSet,
+)
+from citronpaddle.policy.feed import MAX_SENDERS, Feed, FeedBatch
 from citronpaddle.policy.hints import MAX_HINTS, Hint, HintKind, Hints
 from citronpaddle.policy.members import Member
 from citronpaddle.statestore import StoreItem
@@ -210,3 +217,27 @@
     active = ActiveSet()
     total = sum(active.compute_share(name, members, names) for name in names)
     assert 0.99 < total <= 1.000001
+
+
+def test_datagrams_of_unknown_senders_hold_bounded_memory():
+    """Guards against datagrams that each name another sender, upstream or list length."""
+    active = ActiveSet()
+    for number in range(MAX_REPORTS + 100):
+        active.record_loop_lag(f"stranger{number}", 1.0, 0.0)
+    assert len(active._reports) == MAX_REPORTS
+    feed = Feed("own")
+    for number in range(MAX_SENDERS + 100):
+        feed.record_batch(f"stranger{number}", FeedBatch(1, 1, 0.0), 0.0)
+    assert len(feed._received_ms) == MAX_SENDERS
+    simulation = ExchangeSimulation(PAIR, lambda call, now_ms: succeed())
+    hints = Hints(simulation.selector, lambda: None)
+    kinds = (HintKind.LATE, HintKind.ANSWERED, HintKind.LIMITED)
+    hints.apply([Hint(kind, f"u{n}", 1.0) for kind in kinds for n in range(100)], 0.0)
+    assert not any(f"u{n}" in simulation.selector._stats for n in range(100))
+    data = encode(PeerMessage("x", 1.0, (Hint(HintKind.LIMITED, "u", 1.0),)))
+    list_length = data.index(b"\x0f\x00\x03\x0c") + 4
+    endless = data[:list_length] + (1 << 30).to_bytes(4, "big") + data[list_length + 4 :]
+    tracemalloc.start()
+    assert isinstance(decode(endless), str)
+    assert tracemalloc.get_traced_memory()[1] < 100_000
+    tracemalloc.stop()
