Try crowds at the other sockets and behind a request in progress

Cause: the directory and the ready address read requests as well, and requests that are sent ahead of answers were all parsed and kept.

Change: three more crowds with the same bounds. The queue of a listening socket is set by one call of listen, apart from the batch that asyncio accepts.

--- a/citronpaddle/adapters/intake.py
+++ b/citronpaddle/adapters/intake.py
@@ -104,22 +104,27 @@
         )
 
 
+class _Listener(socket.socket):
+    """A listening socket whose queue is longer than the batch that asyncio accepts."""
+
+    def listen(self, _batch: int) -> None:
+        # asyncio passes one number for both.
+        super().listen(BACKLOG)
+
+
 async def listen(
     address: Address, make_connection: Callable[[], asyncio.Protocol]
 ) -> asyncio.Server:
     """Listen at `address`; raise OSError if it can't be used."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = _Listener(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
         listener.bind(address)
-        server = await asyncio.get_running_loop().create_server(
+        return await asyncio.get_running_loop().create_server(
             make_connection, sock=listener, backlog=ACCEPT_BATCH
         )
     except BaseException:
         listener.close()
         raise
-    # asyncio uses one number for the queue of the kernel and for its batch.
-    listener.listen(BACKLOG)
-    return server
--- a/tests/crowdworld.py
+++ b/tests/crowdworld.py
@@ -28,6 +28,8 @@
 # The limits of the configuration.
 MAX_HEADER_BYTES = 8_192
 MAX_BODY_BYTES = 262_144
+# A service that never answers.
+SILENT_ROUTE = {"prefix": "/silent/", "service": "silent", "timeout_ms": 10_000}
 START_TIMEOUT_S = 60.0
 # The process counts as settled when it has used no processor time for this long.
 SETTLED_S = 0.5
@@ -163,17 +165,21 @@
 class Crowd:
     """Connections that each send a list of packets, as far as the process takes them."""
 
-    def __init__(self, process: EntryProcess, port: str = "callers") -> None:
+    def __init__(self, process: EntryProcess) -> None:
         self._process = process
-        self._port = port
         self._writers: list[asyncio.StreamWriter] = []
 
-    async def send(self, count: int, make_packets: Callable[[int], Iterable[bytes]]) -> None:
+    async def send(
+        self,
+        count: int,
+        make_packets: Callable[[int], Iterable[bytes]],
+        port: str = "callers",
+    ) -> None:
         """Open `count` connections, send the packets of each one, and leave them open."""
         packets = [iter(make_packets(number)) for number in range(count)]
         connections = []
         for _ in range(count):
-            connections.append(await self._connect())
+            connections.append(await self._connect(port))
             self._process.count_sockets()
         # Packet by packet on all connections, so that all are incomplete at the same time.
         active = [pair for pair in zip(connections, packets, strict=True) if pair[0] is not None]
@@ -182,9 +188,9 @@
             self._process.count_sockets()
         await self._process.settle()
 
-    async def _connect(self) -> asyncio.StreamWriter | None:
+    async def _connect(self, port: str) -> asyncio.StreamWriter | None:
         try:
-            _, writer = await asyncio.open_connection("127.0.0.1", self._process.ports[self._port])
+            _, writer = await asyncio.open_connection("127.0.0.1", self._process.ports[port])
         except OSError:
             return None
         self._writers.append(writer)
@@ -211,8 +217,10 @@
     platform = PlatformStandIn()
     await platform.start()
     await platform.add("a", "s0", [1, 9], slots=4)
+    silent = await platform.add("b", "silent", slots=100)
+    silent.answer = lambda request, connection: True
     platform.configure(
-        [SINGLE_ROUTE, UNSAFE_ROUTE],
+        [SINGLE_ROUTE, UNSAFE_ROUTE, SILENT_ROUTE],
         max_header_bytes=MAX_HEADER_BYTES,
         max_body_bytes=MAX_BODY_BYTES,
         header_timeout_ms=60_000,
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -92,3 +92,28 @@
         yield from repeat(b"b", 2_000_000)
 
     run_crowd(tmp_path, lambda process, crowd: crowd.send(MANY, make_packets))
+
+
+@pytest.mark.parametrize("port", ["directory", "ready"])
+def test_the_other_listening_sockets_share_the_limits(tmp_path, port):
+    """Each of these sockets reads requests as well, and had neither limit nor timer."""
+
+    def make_packets(number):
+        yield CHUNKED % number
+        body = b"4000\r\n%s\r\n" % (b"x" * 16_384) * 15
+        for at in range(0, len(body), PACKET_BYTES):
+            yield body[at : at + PACKET_BYTES]
+        yield from repeat(b"\r\n", 1_000_000)
+
+    run_crowd(tmp_path, lambda process, crowd: crowd.send(MANY, make_packets, port))
+
+
+def test_many_requests_behind_one_that_is_in_progress(tmp_path):
+    """Requests that are sent ahead of answers were all parsed and kept."""
+    get = GET.replace(b"/p/x", b"/silent/x")
+
+    def make_packets(number):
+        yield get % number + b"\r\n"
+        yield from repeat(get % number + b"\r\n", 1_000_000)
+
+    run_crowd(tmp_path, lambda process, crowd: crowd.send(60, make_packets))
