--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -67,6 +67,8 @@
         self._clock = clock
         self._connections = connections
         self._intake = intake
+        self._limits = CallerLimits()
+        self._sizes = MessageSizes()
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._keeps_alive = True
@@ -92,7 +94,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._expects_continue = False
         self._body: bytes | bytearray = b""
-        self._sizes = MessageSizes()
+        self._sizes.reset()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -149,7 +151,7 @@
 
     def _parse(self, data: bytes) -> None:
         """Feed the parser with pieces that end where a head or a request may end."""
-        limits = self._service.get_limits()
+        limits = self._limits = self._service.get_limits()
         length = len(data)
         start = 0
         while start < length:
@@ -208,8 +210,7 @@
     def on_headers_complete(self) -> None:
         sizes = self._sizes
         sizes.complete_head()
-        max_body_bytes = self._service.get_limits().max_body_bytes
-        if sizes.body_left_bytes > max_body_bytes:
+        if sizes.body_left_bytes > self._limits.max_body_bytes:
             self._reject(413, LimitReason.BODY_BYTES)
         elif self._expects_continue and not self._is_closed:
             self._transport.write(_CONTINUE_RESPONSE)
@@ -220,7 +221,7 @@
     def on_body(self, body: bytes) -> None:
         sizes = self._sizes
         sizes.add_body(len(body))
-        if self._is_closed or sizes.body_bytes > self._service.get_limits().max_body_bytes:
+        if self._is_closed or sizes.body_bytes > self._limits.max_body_bytes:
             return
         if not self._body:
             self._body = body
@@ -231,7 +232,7 @@
         self._body += body
 
     def on_message_complete(self) -> None:
-        limits = self._service.get_limits()
+        limits = self._limits
         sizes = self._sizes
         excess = sizes.find_excess(limits.max_header_bytes, limits.max_body_bytes, is_complete=True)
         if self._is_closed or self.is_busy:
--- a/citronpaddle/adapters/framing.py
+++ b/citronpaddle/adapters/framing.py
@@ -44,6 +44,10 @@
     )
 
     def __init__(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        """Begin with the next request."""
         self.body_bytes = 0
         self.body_left_bytes = 0
         self.is_head_complete = False
