--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -315,12 +315,14 @@
         return stats is not None and stats.peer_late_until_ms > now_ms
 
     def record_peer_late(self, upstream_id: str, now_ms: float) -> None:
-        """Record that another instance has a late call to the upstream."""
-        self._get_or_create_stats(upstream_id, now_ms).record_peer_late(now_ms)
+        """Record that another instance has a late call to the upstream, if that is listed."""
+        if self._registry.get(upstream_id) is not None:
+            self._get_or_create_stats(upstream_id, now_ms).record_peer_late(now_ms)
 
     def record_peer_reply(self, upstream_id: str, slowness: float, now_ms: float) -> None:
-        """Record the final slowness of another instance's late call."""
-        self._get_or_create_stats(upstream_id, now_ms).record_peer_reply(slowness, now_ms)
+        """Record the final slowness of another instance's late call to a listed upstream."""
+        if self._registry.get(upstream_id) is not None:
+            self._get_or_create_stats(upstream_id, now_ms).record_peer_reply(slowness, now_ms)
 
     def record_peer_pace(self, upstream_id: str, concurrency: float, now_ms: float) -> None:
         """Adopt the pace that another instance has found, also for an upstream avoided here."""
