Decide on requests by their teams' quotas over all instances

Cause: even shares of a quota starve teams that send a fraction of a request a second to each instance, and a full quota at each breaks the rule. Change: every instance counts what all have admitted. It reports its own counts in an optional field of the datagrams, keeps room for instances that are cut off, and starts with an empty bucket.

--- a/citronpaddle/adapters/hintchannel.py
+++ b/citronpaddle/adapters/hintchannel.py
@@ -11,6 +11,7 @@
 from ..generated.hints import ttypes
 from ..policy.feed import FeedBatch
 from ..policy.hints import LIMIT_KINDS, Hint, HintKind
+from ..policy.quotapeers import QuotaReport
 from ..statestore import StoreItem
 from .addresses import Address
 
@@ -29,6 +30,7 @@
     loop_lag_ms: float
     hints: tuple[Hint, ...] = ()
     feed: FeedBatch | None = None
+    quota: QuotaReport | None = None
 
     @property
     def reports_only_limits(self) -> bool:
@@ -44,7 +46,8 @@
     """
     hints = [ttypes.Hint(int(hint.kind), hint.upstream, hint.value) for hint in message.hints]
     feed = _encode_feed(message.feed) if message.feed is not None else None
-    data = _write(ttypes.Message(message.sender, message.loop_lag_ms, hints, feed))
+    quota = _encode_quota(message.quota) if message.quota is not None else None
+    data = _write(ttypes.Message(message.sender, message.loop_lag_ms, hints, feed, quota))
     if len(data) > MAX_DATAGRAM_BYTES and message.feed is not None and message.feed.changes:
         return encode(message._replace(feed=message.feed.without_changes))
     return data
@@ -64,7 +67,8 @@
             for item in message.hints
         )
         feed = _decode_feed(message.feed) if message.feed is not None else None
-        return PeerMessage(str(message.sender), float(message.strain_ms), hints, feed)
+        quota = _decode_quota(message.quota) if message.quota is not None else None
+        return PeerMessage(str(message.sender), float(message.strain_ms), hints, feed, quota)
     except Exception as error:
         # On malformed bytes the library raises many types, from EOFError to UnicodeDecodeError.
         return repr(error)
@@ -101,6 +105,23 @@
     )
 
 
+def _encode_quota(report: QuotaReport) -> ttypes.QuotaReport:
+    counts = [ttypes.TeamCount(team, count) for team, count in report.counts]
+    return ttypes.QuotaReport(
+        report.incarnation, report.uptime_ms, counts, list(report.missed), report.is_in_use
+    )
+
+
+def _decode_quota(quota: ttypes.QuotaReport) -> QuotaReport:
+    return QuotaReport(
+        str(quota.incarnation),
+        float(quota.uptime_ms),
+        tuple((str(item.team), float(item.count)) for item in quota.counts),
+        tuple(str(name) for name in quota.missed),
+        bool(quota.is_in_use),
+    )
+
+
 def _write(message: ttypes.Message | ttypes.Changes) -> bytes:
     buffer = TMemoryBuffer()
     message.write(TBinaryProtocolAccelerated(buffer))
--- a/citronpaddle/hints.thrift
+++ b/citronpaddle/hints.thrift
@@ -46,6 +46,25 @@
   5: optional i64 era,
 }
 
+/** How many requests of a team the sender has admitted since its start. */
+struct TeamCount {
+  1: string team,
+  2: double count,
+}
+
+/** What the sender has admitted within the quotas of teams. */
+struct QuotaReport {
+  /** Differs at each start of the sender. */
+  1: string incarnation,
+  /** Time in ms since the start of the sender. */
+  2: double uptime_ms,
+  3: list<TeamCount> counts,
+  /** The instances whose reports the sender no longer receives. */
+  4: list<string> missed,
+  /** Whether callers are sent to the sender. */
+  5: bool is_in_use,
+}
+
 struct Message {
   1: string sender,
   /** The event loop lag of the sender, in ms: how late timers fire when processor time is short. */
@@ -53,4 +72,6 @@
   3: list<Hint> hints,
   /** Set only by watchers, which read the store's changes and relay them. */
   4: optional Feed feed,
+  /** Set only where teams have quotas. */
+  5: optional QuotaReport quota,
 }
--- /dev/null
+++ b/citronpaddle/policy/quota.py
@@ -0,0 +1,365 @@
+"""Quotas of teams, which hold over all instances together.
+
+Each instance counts all requests of a team that it knows of, its own and those that others report,
+and admits by itself while the quota has room. Reports are some ms to some hundred ms old; the slack
+of the quota covers what others have admitted meanwhile. What an instance that is cut off may admit
+is kept free for it: its share of the quota with its slack. `docs/design/quotas.md` gives the
+reasons. Times are in ms on one monotonic clock.
+"""
+
+from collections.abc import Callable, Collection, Iterator, Mapping
+from typing import NamedTuple
+
+from .catalog import Team
+from .quotapeers import Admissions, QuotaPeers, QuotaReport
+from .slidingcount import SlidingCount
+
+MS_PER_SECOND = 1_000.0
+# Shares of the slack, which is what the rule tolerates beyond rate and burst, by which the burst
+# and the requests of a window are raised: a request that is refused below the limit is a loss. The
+# rest is for requests that are not reported yet.
+BURST_SLACK_SHARE = 0.5
+WINDOW_SLACK_SHARE = 0.65
+# The same while instances are cut off: some requests are admitted before a cut is noticed.
+CUT_WINDOW_SLACK_SHARE = 0.5
+# Share of the slack that an instance admits at once after its start.
+START_SLACK_SHARE = 0.0625
+# Share of the remaining room at which admissions are reported at once, supposing that the other
+# instances in use have as many unreported ones.
+PROMPT_ROOM_SHARE = 1.0
+# An instance reports regularly for this long after it was in use or admitted a request, in windows.
+# The others learn meanwhile that it is not in use, so that none of them takes it for cut off.
+REPORTED_WINDOWS = 2.0
+# Keeps a report within a datagram: the bytes of all names, with the other bytes of an entry.
+MAX_REPORT_BYTES = 6_000
+ENTRY_BYTES = 30
+# Most instances that a report names as silent; their names have to fit as well.
+MAX_MISSED = 24
+# Interval of the reports to the instances in use. It grows with their number, so that an instance
+# sends and receives 250 such reports a second at most.
+REPORT_INTERVAL_MS = 250.0
+REPORT_INTERVAL_PER_INSTANCE_MS = 4.0
+# The other instances get few requests and are sent every fourth report.
+WIDE_REPORT_INTERVALS = 4
+# An instance may be cut off if the latest report of it is older than this many intervals.
+TIMEOUT_INTERVALS = 2
+# After a cut, reports have to arrive for this many intervals until they are complete.
+SETTLING_INTERVALS = 3
+
+
+class QuotaLimits(NamedTuple):
+    """The rule for all quotas.
+
+    In any `window_ms`, all instances together admit at most the rate times the window and the
+    burst, this sum times `overshoot` more, and `slack` requests more.
+    """
+
+    window_ms: float = 5_000.0
+    overshoot: float = 0.0
+    slack: float = 0.0
+
+    def compute_ceiling(self, team: Team) -> float:
+        """Return the most requests of a team in a window: one at least, else it had no quota."""
+        return max(1.0, self.compute_quota(team) * (1.0 + self.overshoot) + self.slack)
+
+    def compute_quota(self, team: Team) -> float:
+        """Return the requests of a team in a window that are within its quota."""
+        return team.rate_per_s * self.window_ms / MS_PER_SECOND + team.burst
+
+    def compute_slack(self, team: Team) -> float:
+        """Return the requests in a window that are tolerated beyond the quota."""
+        return max(0.0, self.compute_ceiling(team) - self.compute_quota(team))
+
+    def compute_burst(self, team: Team) -> float:
+        """Return the burst that is admitted, at least one request."""
+        return max(1.0, team.burst + BURST_SLACK_SHARE * self.compute_slack(team))
+
+    def compute_rate_per_s(self, team: Team) -> float:
+        """Return the rate that is admitted."""
+        extra = WINDOW_SLACK_SHARE * self.compute_slack(team)
+        return team.rate_per_s + extra * MS_PER_SECOND / self.window_ms
+
+
+class QuotaState(NamedTuple):
+    """What a decision about a request of a team was based on.
+
+    `known` requests were admitted in the last window by all instances. `reserved` more are kept for
+    the `cut_off` instances.
+    """
+
+    known: float
+    reserved: float
+    cut_off: int
+
+
+class _TeamUsage:
+    """Use of one team's quota: a token bucket, and the requests of the last window by incarnation.
+
+    `debt` is how many tokens are missing from the full bucket.
+    """
+
+    def __init__(self, debt: float, now_ms: float) -> None:
+        self.debt = debt
+        self.updated_ms = now_ms
+        # When the bucket was last full.
+        self.full_ms = now_ms
+        self.counts: dict[str, SlidingCount] = {}
+        # All own requests since the start, and how many of them are reported.
+        self.admitted = 0.0
+        self.reported: float | None = 0.0
+        self.reported_in_use: float | None = 0.0
+
+    def refill(self, rate_per_s: float, now_ms: float) -> None:
+        """Add the tokens since the last update."""
+        elapsed_ms = max(0.0, now_ms - self.updated_ms)
+        self.updated_ms = now_ms
+        self.debt = max(0.0, self.debt - rate_per_s * elapsed_ms / MS_PER_SECOND)
+        if self.debt == 0.0:
+            self.full_ms = now_ms
+
+    def change_count(
+        self, incarnation: str, change: float, window_ms: float, now_ms: float
+    ) -> None:
+        """Add requests of an incarnation to the window, or remove some."""
+        count = self.counts.get(incarnation)
+        if count is None:
+            count = self.counts[incarnation] = SlidingCount(window_ms)
+        if change > 0:
+            count.add(change, now_ms)
+        else:
+            count.remove(-change)
+
+    def count(self, incarnation: str, now_ms: float) -> float:
+        """Return the requests of an incarnation in the window."""
+        count = self.counts.get(incarnation)
+        return count.count(now_ms) if count is not None else 0.0
+
+    def count_all(self, now_ms: float) -> float:
+        """Return the requests of all incarnations in the window."""
+        return sum(count.count(now_ms) for count in self.counts.values())
+
+    def find_release_ms(self, now_ms: float) -> float | None:
+        """Return when the next requests leave the window, or None if there are none."""
+        releases_ms = [
+            count.find_release_ms(now_ms) for count in self.counts.values() if count.count(now_ms)
+        ]
+        return min(releases_ms, default=None)
+
+    def forget_reports(self) -> None:
+        """Mark the own requests as not reported, if there are any."""
+        if self.admitted:
+            self.reported = self.reported_in_use = None
+
+    def remove_empty_counts(self, now_ms: float) -> None:
+        """Remove the incarnations without a request in the window."""
+        for incarnation, count in list(self.counts.items()):
+            if not count.count(now_ms):
+                del self.counts[incarnation]
+
+
+class Quotas:
+    """Admits requests within the quotas of their teams, and reports them to other instances."""
+
+    def __init__(self, limits: QuotaLimits, name: str, incarnation: str, now_ms: float) -> None:
+        """Start without knowledge; `incarnation` differs at each start of instance `name`."""
+        self.limits = limits
+        self._name = name
+        self._incarnation = incarnation
+        self._started_ms = now_ms
+        self._peers = QuotaPeers(name, now_ms)
+        self._is_in_use = False
+        self._in_use: list[str] = []
+        self._silent: set[str] = set()
+        self._usage: dict[str, _TeamUsage] = {}
+        self._teams: dict[str, Team] = {}
+        # When this instance was last in use or admitted a request.
+        self._active_ms = now_ms - REPORTED_WINDOWS * limits.window_ms
+
+    def set_teams(self, teams: Mapping[str, Team]) -> None:
+        """Set the teams with a quota, by name."""
+        self._teams = dict(teams)
+
+    def set_expected(self, names: Collection[str], now_ms: float) -> None:
+        """Set the instances that this instance supposes to be in use, itself or not."""
+        self._is_in_use = self._name in names
+        if self._is_in_use:
+            self._active_ms = now_ms
+        self._peers.set_expected(names, now_ms)
+        self._in_use = self._peers.list_in_use(now_ms)
+        intervals = TIMEOUT_INTERVALS * (1 if self._is_in_use else WIDE_REPORT_INTERVALS)
+        self._peers.timeout_ms = intervals * self.report_interval_ms
+        self._peers.settling_ms = SETTLING_INTERVALS * self.report_interval_ms
+        silent = self._peers.list_silent(now_ms)
+        if self._silent - silent:
+            # Those that report again have missed what was reported meanwhile.
+            for usage in self._usage.values():
+                usage.forget_reports()
+        self._silent = silent
+
+    def list_in_use(self) -> list[str]:
+        """Return the names of the other instances in use."""
+        return self._in_use
+
+    @property
+    def report_interval_ms(self) -> float:
+        """Return the interval of reports to the instances in use."""
+        return max(REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_INSTANCE_MS * (len(self._in_use) + 1))
+
+    def admit(self, team: Team, now_ms: float) -> float:
+        """Count a request and return 0, or return after how many ms a token is expected."""
+        if not team.has_quota:
+            return 0.0
+        usage = self._find_usage(team, now_ms)
+        rate_per_s = self._compute_rate_per_s(team, now_ms)
+        usage.refill(rate_per_s, now_ms)
+        missing = usage.debt + 1.0 - self.limits.compute_burst(team)
+        wait_ms = max(0.0, missing) * MS_PER_SECOND / rate_per_s
+        state = self._describe(usage, team, now_ms)
+        if state.known + state.reserved + 1.0 > self._compute_ceiling(team, state.cut_off > 0):
+            release_ms = usage.find_release_ms(now_ms)
+            window_wait_ms = self._peers.timeout_ms if release_ms is None else release_ms - now_ms
+            wait_ms = max(wait_ms, window_wait_ms)
+        if wait_ms > 0:
+            return wait_ms
+        usage.debt += 1.0
+        usage.admitted += 1.0
+        usage.change_count(self._incarnation, 1.0, self.limits.window_ms, now_ms)
+        self._active_ms = now_ms
+        return 0.0
+
+    def give_back(self, team: Team, admitted_ms: float, now_ms: float) -> None:
+        """Return the token of a request that was admitted at `admitted_ms` and has not run."""
+        usage = self._usage.get(team.name)
+        if usage is None or not team.has_quota:
+            return
+        usage.refill(self._compute_rate_per_s(team, now_ms), now_ms)
+        if admitted_ms >= usage.full_ms:
+            usage.debt = max(0.0, usage.debt - 1.0)
+        usage.admitted -= 1.0
+        if now_ms - admitted_ms < self.limits.window_ms:
+            usage.change_count(self._incarnation, -1.0, self.limits.window_ms, now_ms)
+
+    def describe(self, team: Team, now_ms: float) -> QuotaState:
+        """Return what a decision about a request of the team is based on."""
+        return self._describe(self._find_usage(team, now_ms), team, now_ms)
+
+    def apply(self, sender: str, report: QuotaReport, now_ms: float) -> None:
+        """Count the requests that another instance reports."""
+        window_ms = self.limits.window_ms
+        for change in self._peers.apply(sender, report, window_ms, now_ms):
+            team = self._teams.get(change.team)
+            if team is not None:
+                self._apply_admissions(team, report.incarnation, change, now_ms)
+
+    def _apply_admissions(
+        self, team: Team, incarnation: str, change: Admissions, now_ms: float
+    ) -> None:
+        usage = self._find_usage(team, now_ms)
+        usage.refill(self._compute_rate_per_s(team, now_ms), now_ms)
+        count = change.count
+        window_ms = self.limits.window_ms
+        if change.gap_ms > window_ms:
+            # Admitted over the whole gap, of which only the last window counts.
+            recent = count * window_ms / change.gap_ms
+            share = self._compute_share(now_ms)
+            count = min(count, max(recent, share * self._compute_ceiling(team, is_cut=True)))
+        usage.change_count(incarnation, count, window_ms, now_ms)
+        debt = max(0.0, usage.debt + count)
+        if change.gap_ms > self._peers.timeout_ms:
+            # The tokens of the time in which the other was cut off are refilled already.
+            debt = min(debt, max(usage.debt, self.limits.compute_burst(team)))
+        usage.debt = debt
+
+    def is_report_urgent(self, team: Team) -> bool:
+        """Return whether others need to know the requests of the team at once."""
+        usage = self._usage.get(team.name)
+        if usage is None:
+            return False
+        reported = max(usage.reported or 0.0, usage.reported_in_use or 0.0)
+        room = self.limits.compute_burst(team) - usage.debt
+        return (usage.admitted - reported) * (len(self._in_use) + 1) >= PROMPT_ROOM_SHARE * room
+
+    def has_regular_reports(self, now_ms: float) -> bool:
+        """Return whether this instance reports regularly: it is in use, or was lately."""
+        is_recent = now_ms - self._active_ms < REPORTED_WINDOWS * self.limits.window_ms
+        return bool(self._teams) and is_recent
+
+    def make_report(self, now_ms: float) -> QuotaReport:
+        """Return a report for the instances in use: what changed since the last one of any kind."""
+        counts: list[tuple[str, float]] = []
+        for name, usage in self._limit_bytes(
+            lambda usage: usage.admitted not in (usage.reported, usage.reported_in_use)
+        ):
+            usage.reported_in_use = usage.admitted
+            counts.append((name, usage.admitted))
+        return self._make_report(counts, now_ms)
+
+    def make_wide_report(self, now_ms: float) -> QuotaReport:
+        """Return a report for all instances: what changed since the last one for all."""
+        for usage in self._usage.values():
+            usage.remove_empty_counts(now_ms)
+        counts: list[tuple[str, float]] = []
+        for name, usage in self._limit_bytes(lambda usage: usage.admitted != usage.reported):
+            usage.reported = usage.reported_in_use = usage.admitted
+            counts.append((name, usage.admitted))
+        return self._make_report(counts, now_ms)
+
+    def _limit_bytes(
+        self, is_changed: Callable[[_TeamUsage], bool]
+    ) -> Iterator[tuple[str, _TeamUsage]]:
+        """Yield changed counts until a report is full; the others stay for the next one."""
+        size = 0
+        for name, usage in self._usage.items():
+            if is_changed(usage):
+                size += ENTRY_BYTES + len(name)
+                if size > MAX_REPORT_BYTES:
+                    return
+                yield name, usage
+
+    def _make_report(self, counts: list[tuple[str, float]], now_ms: float) -> QuotaReport:
+        uptime_ms = now_ms - self._started_ms
+        missed = tuple(self._peers.list_missed(now_ms))[:MAX_MISSED]
+        return QuotaReport(self._incarnation, uptime_ms, tuple(counts), missed, self._is_in_use)
+
+    def _find_usage(self, team: Team, now_ms: float) -> _TeamUsage:
+        usage = self._usage.get(team.name)
+        if usage is None:
+            # An instance that has just started does not know what was admitted before; all may
+            # have been restarted. The burst counts as used at the start.
+            uptime_ms = now_ms - self._started_ms
+            debt = 0.0
+            if uptime_ms < self.limits.window_ms:
+                refilled = team.rate_per_s * uptime_ms / MS_PER_SECOND
+                at_start = START_SLACK_SHARE * self.limits.compute_slack(team)
+                debt = max(0.0, self.limits.compute_burst(team) - at_start - refilled)
+            usage = self._usage[team.name] = _TeamUsage(debt, now_ms)
+        return usage
+
+    def _compute_rate_per_s(self, team: Team, now_ms: float) -> float:
+        """Return the rate that is admitted; it is not raised in the first window after the start.
+
+        What was admitted before the start is unknown, and may have used all of the slack.
+        """
+        if now_ms - self._started_ms < self.limits.window_ms:
+            return team.rate_per_s
+        return self.limits.compute_rate_per_s(team)
+
+    def _compute_share(self, now_ms: float) -> float:
+        """Return the share (0 to 1) of a quota for each instance that is cut off."""
+        in_use = len(self._peers.list_in_use(now_ms)) + self._is_in_use
+        return 1.0 / max(1, in_use)
+
+    def _compute_ceiling(self, team: Team, is_cut: bool) -> float:
+        """Return the most requests in a window, fewer while instances are cut off."""
+        share = CUT_WINDOW_SLACK_SHARE if is_cut else WINDOW_SLACK_SHARE
+        slack = share * self.limits.compute_slack(team)
+        return max(1.0, self.limits.compute_quota(team) + slack)
+
+    def _describe(self, usage: _TeamUsage, team: Team, now_ms: float) -> QuotaState:
+        ceiling = self._compute_ceiling(team, is_cut=True)
+        cut_off = self._peers.list_cut_off(now_ms)
+        share = self._compute_share(now_ms)
+        reserved = sum(
+            max(0.0, share * ceiling - usage.count(incarnation, now_ms)) for incarnation in cut_off
+        )
+        return QuotaState(usage.count_all(now_ms), reserved, len(cut_off))
--- /dev/null
+++ b/citronpaddle/policy/quotapeers.py
@@ -0,0 +1,202 @@
+"""What this instance knows of the others that admit requests of the same teams.
+
+Every instance reports how many requests of each team it has admitted since its start. A report also
+states the time since that start, from which the receiver computes how long the report has waited on
+its way: after a pause, an instance finds reports that are seconds old. Times are in ms.
+"""
+
+from collections.abc import Collection, Iterable
+from math import inf, isfinite
+from typing import NamedTuple
+
+# A silent instance that is not expected to be in use may still serve callers for this long.
+FORGET_MS = 30_000.0
+# Within this time of its start, an instance has received a report of every instance in use.
+START_MS = 2_000.0
+# The shortest way of a report is measured over one to two such spans, since clocks drift.
+DELAY_SPAN_MS = 60_000.0
+# No instance counts further than this: a larger value is malformed.
+MAX_COUNT = 1e15
+
+
+class Admissions(NamedTuple):
+    """Requests of a team that another instance admitted, `gap_ms` after its report before."""
+
+    team: str
+    count: float
+    gap_ms: float
+
+
+class QuotaReport(NamedTuple):
+    """One report: the sender's incarnation, the time since its start, and its counts by team.
+
+    `counts` are requests since the start. The sender receives nothing from the instances `missed`.
+    Callers are sent to it if it `is_in_use`.
+    """
+
+    incarnation: str
+    uptime_ms: float
+    counts: tuple[tuple[str, float], ...] = ()
+    missed: tuple[str, ...] = ()
+    is_in_use: bool = True
+
+
+class QuotaPeer:
+    """Another instance: whether it is in use, and what its latest report states."""
+
+    def __init__(self, now_ms: float) -> None:
+        self.incarnation = ""
+        # As this instance supposes, and as the other one states.
+        self.is_expected = False
+        self.is_in_use = False
+        self._is_receiving = True
+        self._created_ms = now_ms
+        self._reported_ms = -inf
+        # Since when reports have been arriving in both directions.
+        self._resumed_ms = now_ms
+        self._first_uptime_ms = 0.0
+        self._counts: dict[str, float] = {}
+        # The smallest difference between the clocks in the present span and in the one before.
+        self._least_offsets_ms = (inf, inf)
+        self._span_started_ms = now_ms
+
+    def has_reported(self, now_ms: float, timeout_ms: float) -> bool:
+        """Return whether a report has arrived that was sent in the last `timeout_ms`."""
+        return now_ms - self._reported_ms < timeout_ms
+
+    def is_silent(self, now_ms: float, timeout_ms: float) -> bool:
+        """Return whether reports do not arrive, in one direction or in both."""
+        return not (self._is_receiving and self.has_reported(now_ms, timeout_ms))
+
+    def is_connected(self, now_ms: float, timeout_ms: float, settling_ms: float) -> bool:
+        """Return whether reports arrive in both directions, and did for `settling_ms`."""
+        is_settled = now_ms - self._resumed_ms >= settling_ms
+        return is_settled and not self.is_silent(now_ms, timeout_ms)
+
+    def is_forgotten(self, now_ms: float) -> bool:
+        """Return whether the instance no longer admits requests."""
+        seen_ms = max(self._reported_ms, self._created_ms)
+        return not self.is_expected and now_ms - seen_ms >= FORGET_MS
+
+    def apply(
+        self, report: QuotaReport, own_name: str, window_ms: float, timeout_ms: float, now_ms: float
+    ) -> list[Admissions]:
+        """Record a report and return what its sender has admitted since the one before."""
+        was_silent = self.is_silent(now_ms, timeout_ms) or report.incarnation != self.incarnation
+        if report.incarnation != self.incarnation:
+            self.incarnation = report.incarnation
+            self._counts = {}
+            self._first_uptime_ms = report.uptime_ms
+            self._least_offsets_ms = (inf, inf)
+        sent_ms = now_ms - self._measure_delay_ms(report.uptime_ms, now_ms)
+        gap_ms = min(sent_ms - self._reported_ms, report.uptime_ms)
+        # Reports may overtake each other. Counts go down when requests are refused afterwards.
+        if gap_ms < 0:
+            return []
+        self._reported_ms = sent_ms
+        self.is_in_use = report.is_in_use
+        self._is_receiving = own_name not in report.missed
+        if was_silent or not self._is_receiving:
+            self._resumed_ms = now_ms
+        changes: list[Admissions] = []
+        for team, count in report.counts:
+            before = self._counts.get(team)
+            if before is None:
+                # What was admitted before the first report of an instance that has been running
+                # for longer than a window is not known to be recent.
+                before = 0.0 if self._first_uptime_ms < window_ms else count
+            self._counts[team] = count
+            if count != before:
+                changes.append(Admissions(team, count - before, gap_ms))
+        return changes
+
+    def _measure_delay_ms(self, uptime_ms: float, now_ms: float) -> float:
+        """Return how much longer than the fastest report this one took."""
+        offset_ms = now_ms - uptime_ms
+        present_ms, previous_ms = self._least_offsets_ms
+        if now_ms - self._span_started_ms >= DELAY_SPAN_MS:
+            self._span_started_ms = now_ms
+            present_ms, previous_ms = offset_ms, present_ms
+        present_ms = min(present_ms, offset_ms)
+        self._least_offsets_ms = (present_ms, previous_ms)
+        return offset_ms - min(present_ms, previous_ms)
+
+
+class QuotaPeers:
+    """All other instances that may admit requests.
+
+    An instance whose latest report is older than `timeout_ms` may be cut off. When reports arrive
+    again, it counts as cut off for `settling_ms` more, until both have sent all their counts.
+    """
+
+    def __init__(self, own_name: str, now_ms: float) -> None:
+        self.timeout_ms = 0.0
+        self.settling_ms = 0.0
+        self._own_name = own_name
+        self._started_ms = now_ms
+        self._peers: dict[str, QuotaPeer] = {}
+
+    def set_expected(self, names: Collection[str], now_ms: float) -> None:
+        """Set the instances that this instance supposes to be in use."""
+        for name, peer in list(self._peers.items()):
+            peer.is_expected = name in names
+            if peer.is_forgotten(now_ms):
+                del self._peers[name]
+        for name in names:
+            if name != self._own_name and name not in self._peers:
+                self._peers[name] = QuotaPeer(now_ms)
+                self._peers[name].is_expected = True
+
+    def list_in_use(self, now_ms: float) -> list[str]:
+        """Return the names of the instances in use, those that are cut off included.
+
+        An instance knows best whether it is in use. Shortly after the own start, those that are
+        expected to be in use count too; later one of them would have reported.
+        """
+        is_starting = now_ms - self._started_ms < START_MS
+        is_alone = not any(peer.incarnation for peer in self._peers.values())
+        return [
+            name
+            for name, peer in self._peers.items()
+            if (peer.is_in_use if peer.incarnation else peer.is_expected)
+            and (peer.incarnation or is_starting or is_alone)
+        ]
+
+    def apply(
+        self, sender: str, report: QuotaReport, window_ms: float, now_ms: float
+    ) -> list[Admissions]:
+        """Record a report and return what its sender has admitted since the one before."""
+        if sender == self._own_name or not is_valid(report):
+            return []
+        if sender not in self._peers:
+            self._peers[sender] = QuotaPeer(now_ms)
+        peer = self._peers[sender]
+        return peer.apply(report, self._own_name, window_ms, self.timeout_ms, now_ms)
+
+    def list_cut_off(self, now_ms: float) -> list[str]:
+        """Return the incarnations of the instances in use that may not receive reports."""
+        return [
+            self._peers[name].incarnation
+            for name in self.list_in_use(now_ms)
+            if not self._peers[name].is_connected(now_ms, self.timeout_ms, self.settling_ms)
+        ]
+
+    def list_silent(self, now_ms: float) -> set[str]:
+        """Return the names of the instances that do not exchange reports with this one."""
+        return {
+            name for name, peer in self._peers.items() if peer.is_silent(now_ms, self.timeout_ms)
+        }
+
+    def list_missed(self, now_ms: float) -> Iterable[str]:
+        """Return the names of the instances whose reports used to arrive and no longer do."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.incarnation and not peer.has_reported(now_ms, self.timeout_ms)
+        ]
+
+
+def is_valid(report: QuotaReport) -> bool:
+    """Return whether all numbers of a report are possible ones."""
+    numbers = [report.uptime_ms, *(count for _, count in report.counts)]
+    return all(isfinite(number) and -MAX_COUNT < number < MAX_COUNT for number in numbers)
