Refuse requests beyond the quota of their team with 429

Cause: teams had a rate and burst in the configuration that nobody applied. Change: the gateway asks for a token once the team is known, exchanges reports through the peering, gives tokens of refused requests back and names the next token in Retry-After.

--- a/citronpaddle/adapters/counts.py
+++ b/citronpaddle/adapters/counts.py
@@ -36,8 +36,10 @@
         self.sums_ms[key] = self.sums_ms.get(key, 0.0) + took_ms
 
 
-def render(counts: Counts, gauges: dict[str, float]) -> bytes:
-    """Return the counters, the latencies and `gauges` in the Prometheus text format."""
+def render(
+    counts: Counts, gauges: dict[str, float], refused_by_team: dict[str, int] | None = None
+) -> bytes:
+    """Return the counters, the latencies and the gauges in the Prometheus text format."""
     from prometheus_client import CollectorRegistry, generate_latest
     from prometheus_client.core import (
         CounterMetricFamily,
@@ -49,6 +51,13 @@
         GaugeMetricFamily(f"citronpaddle_{name}", name.replace("_", " "), value=value)
         for name, value in gauges.items()
     ]
+    refused = GaugeMetricFamily(
+        "citronpaddle_team_requests_over_quota",
+        "requests refused since a team went over its quota",
+        labels=["team"],
+    )
+    for team, count in (refused_by_team or {}).items():
+        refused.add_metric([team], count)
     counters: dict[str, CounterMetricFamily] = {}
     for (name, label), value in counts.values.items():
         if name not in counters:
@@ -66,7 +75,7 @@
             list(key), list(zip(bounds, cumulative, strict=True)), counts.sums_ms[key] / 1_000
         )
     registry = CollectorRegistry()
-    registry.register(_Collector([*families, *counters.values(), latency]))
+    registry.register(_Collector([*families, refused, *counters.values(), latency]))
     return generate_latest(registry)
 
 
--- a/citronpaddle/adapters/eventlog.py
+++ b/citronpaddle/adapters/eventlog.py
@@ -46,6 +46,7 @@
     INSTANCES_CHANGED = "instances_changed"
     REQUEST_ENDED = "request_ended"
     REQUEST_DENIED = "request_denied"
+    TEAM_OVER_QUOTA = "team_over_quota"
     CALLER_LEFT = "caller_left"
     CALLERS_LIMITED = "callers_limited"
     CALL_REPEATED = "call_repeated"
--- a/citronpaddle/callercodec.py
+++ b/citronpaddle/callercodec.py
@@ -45,6 +45,10 @@
     def make_refusal(self, reason: str, retry_ms: float) -> HttpAnswer:
         """Return the answer to a request that has not run and may be retried after `retry_ms`."""
 
+    @abstractmethod
+    def make_over_quota(self, retry_ms: float) -> HttpAnswer:
+        """Return the answer to a request beyond its team's quota, which has not run."""
+
     @abstractmethod
     def make_unauthorized(self) -> HttpAnswer:
         """Return the answer to a request without a valid key."""
--- a/citronpaddle/explanation.py
+++ b/citronpaddle/explanation.py
@@ -18,6 +18,7 @@
         "upstream_gone",
         "upstream_limited",
         "upstream_paced",
+        "team_over_quota",
         "stopping",
     }
 )
@@ -66,6 +67,7 @@
     request_lines = tuple(line for line in ordered if line.get("id") == request_id)
     if not request_lines:
         return None
+    teams = {line["team"] for line in request_lines if "team" in line}
     instances = {line.get("instance") for line in request_lines}
     called_upstreams = _list_called_upstreams(request_lines)
     first_ms, last_ms = request_lines[0].get("time_ms", 0), request_lines[-1].get("time_ms", 0)
@@ -75,14 +77,16 @@
         if line["event"] in STATE_EVENTS
         and line.get("instance") in instances
         and first_ms - STATE_WINDOW_MS <= line.get("time_ms", 0) <= last_ms
-        and _may_concern(line, called_upstreams)
+        and _may_concern(line, called_upstreams, teams)
     )
     findings = tuple(dict.fromkeys(_derive_findings(request_lines, state)))
     return RequestReport(request_id, request_lines, state, findings)
 
 
-def _may_concern(line: dict[str, Any], called_upstreams: set[str]) -> bool:
+def _may_concern(line: dict[str, Any], called_upstreams: set[str], teams: set[str]) -> bool:
     """Return whether a state change may have mattered to a request with these calls."""
+    if line["event"] == "team_over_quota":
+        return line.get("team") in teams
     # An upstream without a permit was not called, which is what its limit explains.
     is_limit = line["event"] == "upstream_limited"
     return is_limit or "upstream" not in line or line["upstream"] in called_upstreams
@@ -110,6 +114,8 @@
             yield "no upstream was listed for the request, or for too many of its shards"
         if line.get("reason") == "limited":
             yield "all upstreams of the service name a rate limit, which was used up"
+        if line.get("reason") == "over_quota":
+            yield f"team {line.get('team')} had used up its quota over all instances"
         if line.get("state_age_ms", 0) > STALE_STATE_MS:
             yield f"the store did not answer for {line['state_age_ms']} ms: the state was stale"
     if any(line["event"] == "store_lost" for line in state):
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -24,7 +24,7 @@
 from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
 from .peering import Peering
 from .policy.callertimes import CallerTimes
-from .policy.calls import Outcome
+from .policy.calls import Outcome, Refused
 from .policy.catalog import (
     CallerLimits,
     Route,
@@ -38,6 +38,7 @@
 from .policy.feed import Feed
 from .policy.latencies import RouteLatencies
 from .policy.members import Member, Members
+from .policy.quota import QuotaLimits
 from .policy.receiving import derive_limits
 from .policy.registry import Registry
 from .policy.selection import Selector
@@ -47,6 +48,7 @@
 from .requestlog import RequestLog
 from .sharedstate import SharedState, StateDecoder
 from .statestore import StateStore
+from .teamquotas import TeamQuotas
 
 # Interval of the check for overdue connections and expired entries.
 MAINTENANCE_INTERVAL_MS = 250.0
@@ -95,6 +97,7 @@
     cores: float = 1.0
     memory_mb: float | None = None
     descriptors: int | None = None
+    quota: QuotaLimits = QuotaLimits()
 
 
 class Denial(NamedTuple):
@@ -102,6 +105,7 @@
 
     answer: HttpAnswer
     reason: str
+    team: Team | None = None
 
 
 class Admitted(NamedTuple):
@@ -162,6 +166,9 @@
             settings.domain,
         )
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
+        self._quotas = TeamQuotas(
+            clock, log, settings.quota, settings.name, f"{random.random():.12f}"
+        )
         self._pool = ConnectionPool(clock)
         feed = Feed(settings.name)
         self._peering = Peering(
@@ -173,6 +180,7 @@
             self._extra_load,
             self._slow_start,
             lambda sender, batch: self._store_follower.apply_batch(sender, batch),
+            quotas=self._quotas,
         )
         dependencies = ExchangeDependencies(
             self._selector,
@@ -295,6 +303,7 @@
         self._extra_load.set_limits(settings.extra_load)
         self._slow_start.set_limits(settings.cold)
         self._intake.set_limits(derive_limits(settings.memory_mb, settings.descriptors))
+        self._quotas.set_limits(settings.quota)
         self._log.write(Event.SETTINGS_RELOADED, "gateway")
 
     def serve(self, request: HttpRequest, connection: CallerConnection) -> ExchangeRunner | None:
@@ -304,7 +313,9 @@
         if isinstance(admission, Denial):
             connection.answer(admission.answer)
             request_id = caller_request.id if caller_request else ""
-            self._request_log.record_denied(request_id, admission.answer.status, admission.reason)
+            self._request_log.record_denied(
+                request_id, admission.answer.status, admission.reason, admission.team
+            )
             return None
         return self._start_exchange(request, caller_request, admission, connection)
 
@@ -330,6 +341,9 @@
         if not self._accepts_requests:
             # Any other instance can serve the request at once.
             return Denial(self._codec.make_refusal("stopping", 0.0), "stopping")
+        retry_ms = self._quotas.admit(team) if team is not None else 0.0
+        if retry_ms > 0:
+            return Denial(self._codec.make_over_quota(retry_ms), "over_quota", team)
         return Admitted(route, team)
 
     def _start_exchange(
@@ -361,10 +375,13 @@
             team,
         )
         version = catalog.version
+        admitted_ms = self._clock.now_ms()
         runner: ExchangeRunner | None = None
 
         def deliver(outcome: Outcome) -> None:
             connection.answer(self._codec.make_answer(routed, outcome))
+            if isinstance(outcome, Refused):
+                self._quotas.give_back(team, admitted_ms)
             self._request_log.record_outcome(routed, version, outcome, runner)
 
         runner = self._forwarder.create_runner(routed, deliver)
@@ -399,7 +416,7 @@
             "caller_connections": len(self._intake),
             "caller_held_bytes": self._intake.held_bytes,
         }
-        return render(self.counts, gauges)
+        return render(self.counts, gauges, self._quotas.count_refused())
 
     def log_error(self, error: BaseException) -> None:
         """Log an unexpected error; the instance continues to serve."""
@@ -451,6 +468,7 @@
         self.log_error(context.get("exception") or RuntimeError(context["message"]))
 
     def _handle_state_change(self) -> None:
+        self._quotas.set_catalog(self.state.catalog)
         self._peering.review()
         if self.state.catalog is not None:
             routes = {(route.name, route.targets) for route in self.state.catalog.routes}
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -13,10 +13,12 @@
 from .policy.hints import BATCHING_DELAY_MS, Hint, HintKind, Hints
 from .policy.members import Member
 from .policy.pace import PaceChange, PaceEnd
+from .policy.quotapeers import QuotaReport
 from .policy.selection import Selector
 from .policy.slowstart import SlowStart
 from .sharedstate import SharedState
 from .statestore import StoreChanges
+from .teamquotas import TeamQuotas
 
 # For this long after the start, upstreams may still hold connections of the previous instance.
 RECENT_START_MS = 10_000.0
@@ -45,8 +47,9 @@
         slow_start: SlowStart,
         on_feed: Callable[[str, FeedBatch], None],
         make_channel: ChannelMaker = HintChannel,
+        quotas: TeamQuotas | None = None,
     ) -> None:
-        """Pass the batches of other instances to `on_feed`."""
+        """Pass the batches of other instances to `on_feed`; `quotas` is None without quotas."""
         self.loop_lag_ms = 0.0
         self.hints = Hints(selector, self._schedule_hints)
         self._clock = clock
@@ -59,6 +62,9 @@
         selector.paces.on_change = self._handle_pace_change
         self._extra_load = extra_load
         self._slow_start = slow_start
+        self._quotas = quotas
+        if quotas is not None:
+            quotas.set_sender(self._send_quota_report)
         self._active = ActiveSet()
         self._channel = make_channel(self._handle_message, self._log_refused_message)
         self._peers: list[Address] = []
@@ -97,6 +103,10 @@
         self._domain_peers = (
             _list_hints_addresses(domain_members, own) if len(domain_members) > SMALL_DOMAIN else []
         )
+        if self._quotas is not None:
+            self._quotas.review(
+                {member.name for member in active}, _find_hints_addresses(members, own)
+            )
         active_names = [member.name for member in active if member.domain == own.domain]
         self._feed.set_watchers(active_names[:WATCHER_COUNT] if self._domain_peers else ())
         if own.name in active_names and now_ms - self._reported_ms >= REPORT_INTERVAL_MS:
@@ -140,6 +150,10 @@
             message = PeerMessage(self._members.own.name, self.loop_lag_ms, (), batch)
             self._channel.send(encode(message), self._domain_peers)
 
+    def _send_quota_report(self, report: QuotaReport, addresses: Iterable[Address]) -> None:
+        message = PeerMessage(self._members.own.name, self.loop_lag_ms, quota=report)
+        self._channel.send(encode(message), addresses)
+
     def _schedule_hints(self) -> None:
         asyncio.get_running_loop().call_later(BATCHING_DELAY_MS / 1_000, self._send_hints)
 
@@ -151,7 +165,10 @@
 
     def _handle_message(self, message: PeerMessage) -> None:
         now_ms = self._clock.now_ms()
-        if not message.reports_only_limits:
+        if message.quota is not None:
+            if self._quotas is not None:
+                self._quotas.apply(message.sender, message.quota)
+        elif not message.reports_only_limits:
             # Others are sent regularly, and their sender counts as silent without them.
             self._active.record_loop_lag(message.sender, message.loop_lag_ms, now_ms)
         for hint in self.hints.apply(message.hints, now_ms):
@@ -188,8 +205,13 @@
 
 def _list_hints_addresses(members: Iterable[Member], own: Member) -> list[Address]:
     """Return the addresses at which the members other than `own` receive hints."""
-    addresses: list[Address] = []
-    for member in members:
-        if member.name != own.name and member.hints_address:
-            addresses.append(parse_address(member.hints_address))
-    return addresses
+    return list(_find_hints_addresses(members, own).values())
+
+
+def _find_hints_addresses(members: Iterable[Member], own: Member) -> dict[str, Address]:
+    """Return the same addresses by the names of the instances."""
+    return {
+        member.name: parse_address(member.hints_address)
+        for member in members
+        if member.name != own.name and member.hints_address
+    }
--- a/citronpaddle/platform/codec.py
+++ b/citronpaddle/platform/codec.py
@@ -42,6 +42,9 @@
     def make_refusal(self, reason: str, retry_ms: float) -> HttpAnswer:
         return headers.make_refusal(reason, retry_ms)
 
+    def make_over_quota(self, retry_ms: float) -> HttpAnswer:
+        return headers.make_over_quota(retry_ms)
+
     def find_resolve_domain(self, request: HttpRequest) -> str | None:
         if request.target.partition(b"?")[0] != headers.RESOLVE_PATH:
             return None
--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -224,8 +224,16 @@
     reason: str, retry_ms: float, headers: tuple[tuple[bytes, bytes], ...] = ()
 ) -> HttpAnswer:
     """Return the answer 503 to a request that has not run, with a retry time of `retry_ms`."""
-    retry_after = (b"Retry-After", b"%.3f" % (retry_ms / 1_000))
-    return HttpAnswer(503, (retry_after, *headers), reason.encode())
+    return HttpAnswer(503, (_make_retry_after(retry_ms), *headers), reason.encode())
+
+
+def make_over_quota(retry_ms: float) -> HttpAnswer:
+    """Return the answer 429 to a request beyond its team's quota, which has not run."""
+    return HttpAnswer(429, (_make_retry_after(retry_ms),), b"over the quota of the team")
+
+
+def _make_retry_after(retry_ms: float) -> tuple[bytes, bytes]:
+    return b"Retry-After", b"%.3f" % (retry_ms / 1_000)
 
 
 def make_unauthorized() -> HttpAnswer:
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -6,10 +6,12 @@
 from ..adapters.addresses import parse_address
 from ..gateway import GatewaySettings
 from ..policy.extraload import ExtraLoadLimits
+from ..policy.quota import QuotaLimits
 from ..policy.slowstart import ColdLimits
 
 # Upper limit of the time for which callers may keep a list of addresses.
 MAX_ADDRESS_TTL_S = 2.0
+DEFAULT_QUOTA_WINDOW_S = 5.0
 
 
 class PlatformSettingsError(ValueError):
@@ -53,6 +55,7 @@
         cores=_read_cores(document),
         memory_mb=_read_limit(document, "memory_mb"),
         descriptors=_read_limit(document, "max_fds"),
+        quota=_read_quota_limits(bounds),
     )
 
 
@@ -73,6 +76,20 @@
     return value
 
 
+def _read_quota_limits(bounds: dict[str, Any]) -> QuotaLimits:
+    """Return the rule for quotas; without one in the settings, they are kept without any slack."""
+    limits = QuotaLimits(
+        _read_number(bounds, "quota_window_s", DEFAULT_QUOTA_WINDOW_S) * 1_000.0,
+        _read_number(bounds, "quota_overshoot", 0.0),
+        _read_number(bounds, "quota_slack", 0.0),
+    )
+    if limits.window_ms <= 0 or limits.overshoot < 0 or limits.slack < 0:
+        raise PlatformSettingsError(
+            "quota_window_s must be above 0, quota_overshoot and quota_slack not below"
+        )
+    return limits
+
+
 def _find_hints_address(document: dict[str, Any]) -> tuple[str, int] | None:
     """Return the address for other instances' messages: the first port of the internal range."""
     ports = document.get("internal_port_range")
--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -18,8 +18,8 @@
 # Shares of the slack, which is what the rule tolerates beyond rate and burst, by which the burst
 # and the requests of a window are raised: a request that is refused below the limit is a loss. The
 # rest is for requests that are not reported yet.
-BURST_SLACK_SHARE = 0.5
-WINDOW_SLACK_SHARE = 0.65
+BURST_SLACK_SHARE = 0.25
+WINDOW_SLACK_SHARE = 0.6
 # The same while instances are cut off: some requests are admitted before a cut is noticed.
 CUT_WINDOW_SLACK_SHARE = 0.5
 # Share of the slack that an instance admits at once after its start.
@@ -104,6 +104,7 @@
         # When the bucket was last full.
         self.full_ms = now_ms
         self.counts: dict[str, SlidingCount] = {}
+        self.next_retry_ms = 0.0
         # All own requests since the start, and how many of them are reported.
         self.admitted = 0.0
         self.reported: float | None = 0.0
@@ -210,7 +211,7 @@
         if not team.has_quota:
             return 0.0
         usage = self._find_usage(team, now_ms)
-        rate_per_s = self._compute_rate_per_s(team, now_ms)
+        rate_per_s = self.limits.compute_rate_per_s(team)
         usage.refill(rate_per_s, now_ms)
         missing = usage.debt + 1.0 - self.limits.compute_burst(team)
         wait_ms = max(0.0, missing) * MS_PER_SECOND / rate_per_s
@@ -220,19 +221,31 @@
             window_wait_ms = self._peers.timeout_ms if release_ms is None else release_ms - now_ms
             wait_ms = max(wait_ms, window_wait_ms)
         if wait_ms > 0:
-            return wait_ms
+            return self._schedule_retry(usage, wait_ms, rate_per_s, now_ms)
         usage.debt += 1.0
         usage.admitted += 1.0
         usage.change_count(self._incarnation, 1.0, self.limits.window_ms, now_ms)
         self._active_ms = now_ms
         return 0.0
 
+    def _schedule_retry(
+        self, usage: _TeamUsage, wait_ms: float, rate_per_s: float, now_ms: float
+    ) -> float:
+        """Return after how many ms a token is expected that no earlier refusal has named.
+
+        Each instance in use refuses as many requests and names as many tokens as this one.
+        """
+        retry_ms = max(now_ms + wait_ms, usage.next_retry_ms)
+        retry_ms = min(retry_ms, now_ms + max(wait_ms, self.limits.window_ms))
+        usage.next_retry_ms = retry_ms + MS_PER_SECOND * (len(self._in_use) + 1) / rate_per_s
+        return retry_ms - now_ms
+
     def give_back(self, team: Team, admitted_ms: float, now_ms: float) -> None:
         """Return the token of a request that was admitted at `admitted_ms` and has not run."""
         usage = self._usage.get(team.name)
         if usage is None or not team.has_quota:
             return
-        usage.refill(self._compute_rate_per_s(team, now_ms), now_ms)
+        usage.refill(self.limits.compute_rate_per_s(team), now_ms)
         if admitted_ms >= usage.full_ms:
             usage.debt = max(0.0, usage.debt - 1.0)
         usage.admitted -= 1.0
@@ -255,7 +268,7 @@
         self, team: Team, incarnation: str, change: Admissions, now_ms: float
     ) -> None:
         usage = self._find_usage(team, now_ms)
-        usage.refill(self._compute_rate_per_s(team, now_ms), now_ms)
+        usage.refill(self.limits.compute_rate_per_s(team), now_ms)
         count = change.count
         window_ms = self.limits.window_ms
         if change.gap_ms > window_ms:
@@ -329,21 +342,12 @@
             uptime_ms = now_ms - self._started_ms
             debt = 0.0
             if uptime_ms < self.limits.window_ms:
-                refilled = team.rate_per_s * uptime_ms / MS_PER_SECOND
+                refilled = self.limits.compute_rate_per_s(team) * uptime_ms / MS_PER_SECOND
                 at_start = START_SLACK_SHARE * self.limits.compute_slack(team)
                 debt = max(0.0, self.limits.compute_burst(team) - at_start - refilled)
             usage = self._usage[team.name] = _TeamUsage(debt, now_ms)
         return usage
 
-    def _compute_rate_per_s(self, team: Team, now_ms: float) -> float:
-        """Return the rate that is admitted; it is not raised in the first window after the start.
-
-        What was admitted before the start is unknown, and may have used all of the slack.
-        """
-        if now_ms - self._started_ms < self.limits.window_ms:
-            return team.rate_per_s
-        return self.limits.compute_rate_per_s(team)
-
     def _compute_share(self, now_ms: float) -> float:
         """Return the share (0 to 1) of a quota for each instance that is cut off."""
         in_use = len(self._peers.list_in_use(now_ms)) + self._is_in_use
--- a/citronpaddle/requestlog.py
+++ b/citronpaddle/requestlog.py
@@ -5,6 +5,7 @@
 from .clock import Clock
 from .forwarding import ExchangeRunner, RoutedRequest
 from .policy.calls import Answered, Outcome
+from .policy.catalog import Team
 from .sharedstate import SharedState
 
 
@@ -17,7 +18,9 @@
         self._counts = counts
         self._state = state
 
-    def record_denied(self, request_id: str, status: int, reason: str) -> None:
+    def record_denied(
+        self, request_id: str, status: int, reason: str, team: Team | None = None
+    ) -> None:
         """Record a request that was answered without a call to an upstream."""
         self._counts.add("requests", reason)
         version = self._state.catalog.version if self._state.catalog else None
@@ -28,6 +31,7 @@
             status=status,
             reason=reason,
             version=version,
+            **({"team": team.name} if team else {}),
             # Below the store's revision, the instance is behind; at it, a change has been lost.
             store_revision=self._state.revision,
             state_age_ms=self._compute_state_age_ms(),
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -16,6 +16,7 @@
 from citronpaddle.platform.headers import PlatformCodec
 from citronpaddle.platform.store import HttpStateStore
 from citronpaddle.policy.extraload import ExtraLoadLimits
+from citronpaddle.policy.quota import QuotaLimits
 from citronpaddle.policy.slowstart import ColdLimits
 from citronpaddle.randomness import RandomSource
 
@@ -85,6 +86,7 @@
             cold=ColdLimits(1.5, 5.0),
             min_lease_ms=1_000.0,
             config_apply_ms=30.0,
+            quota=QuotaLimits(window_ms=1e6, slack=16.0),
         )
         clock = SystemClock()
         self._log_reader, log_writer = os.pipe()
