Add conditional transactions to the interface of the store

Cause: state that several instances may write at once needs writes that take effect only if nothing has changed since it was read.

Change: StateStore.commit writes and deletes keys if other keys have the expected revisions. The stand-ins for the store in the tests check the preconditions too.

--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -9,14 +9,18 @@
 from ..adapters.connections import ConnectionPool
 from ..adapters.httpclient import HttpFailure, HttpResponse
 from ..statestore import (
+    Committed,
+    Conflict,
     HistoryLost,
     Lease,
     LeaseEnded,
+    Precondition,
     StateStore,
     StoreChanges,
     StoreFailure,
     StoreItem,
     StoreView,
+    StoreWrite,
 )
 
 # The store answers in a few ms and a slow one in some hundred; a slow answer is still useful.
@@ -131,6 +135,28 @@
             return answer
         return LeaseEnded() if answer[0] == 404 or self._era != lease.era else None
 
+    async def commit(
+        self,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[StoreWrite, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> Committed | Conflict | StoreFailure:
+        body = {
+            "precondition": [one._asdict() for one in preconditions],
+            "writes": [
+                {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+                for key, value in writes
+            ],
+            "deletes": list(deletes),
+        }
+        answer = await self._call("POST", f"{_ROOT}/kv-txn", body, absent_status=412)
+        if isinstance(answer, StoreFailure):
+            return answer
+        if answer[0] == 412:
+            return Conflict()
+        revision = answer[1].get("revision") if isinstance(answer[1], dict) else None
+        return Committed(revision) if isinstance(revision, int) else StoreFailure("no revision")
+
     async def _call(
         self,
         method: str,
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+# The most preconditions, writes and deletes of a transaction together.
+MAX_TRANSACTION_ENTRIES = 32
+
 
 class StoreItem(NamedTuple):
     """The value of a key at `revision`; `value` is None if the key was deleted at it."""
@@ -55,6 +58,32 @@
     is_overload: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """A transaction took effect; the keys that it wrote have this revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A transaction had no effect: a key does not have the expected revision."""
+
+
+class Precondition(NamedTuple):
+    """A revision that a key must have; 0 means that it must not exist."""
+
+    key: str
+    revision: int
+
+
+class StoreWrite(NamedTuple):
+    """A key to write without a lease."""
+
+    key: str
+    value: bytes
+
+
 class Lease(NamedTuple):
     """A granted lease; it expires `ttl_ms` after the store receives the last renewal.
 
@@ -109,3 +138,15 @@
     @abstractmethod
     async def put(self, key: str, value: bytes, lease: Lease) -> LeaseEnded | StoreFailure | None:
         """Write a key that the store deletes when the lease ends; return None on success."""
+
+    @abstractmethod
+    async def commit(
+        self,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[StoreWrite, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> Committed | Conflict | StoreFailure:
+        """Write and delete keys in one transaction if all preconditions hold.
+
+        A transaction has at most `MAX_TRANSACTION_ENTRIES` entries of all kinds.
+        """
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -3,14 +3,18 @@
 import asyncio
 
 from citronpaddle.statestore import (
+    Committed,
+    Conflict,
     HistoryLost,
     Lease,
     LeaseEnded,
+    Precondition,
     StateStore,
     StoreChanges,
     StoreFailure,
     StoreItem,
     StoreView,
+    StoreWrite,
 )
 
 
@@ -138,6 +142,25 @@
         self.write(key, value)
         return None
 
+    async def commit(
+        self,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[StoreWrite, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> Committed | Conflict | StoreFailure:
+        self.log.append("commit")
+        if self.is_down:
+            return StoreFailure("down")
+        for key, revision in preconditions:
+            item = self.items.get(key)
+            if (item.revision if item else 0) != revision:
+                return Conflict()
+        for key, value in writes:
+            self.write(key, value)
+        for key in deletes:
+            self.delete(key)
+        return Committed(self.revision)
+
     def _append_change(self, item: StoreItem) -> None:
         self.history.append(item)
         self._changed.set()
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -289,6 +289,10 @@
                 continue
 
     def _transact(self, body) -> tuple[int, Any]:
+        for row in body["precondition"]:
+            item = self.keys.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                return 412, {"items": []}
         for write in body["writes"]:
             lease = write.get("lease", 0)
             if lease and lease not in self.leases:
