Roll a service out to another version

Cause: no module knew the operator's orders under op/rollout. Upstreams of a new version got as many calls as the others, however bad their answers.

Change: in a roll-out the target version gets a bounded share of the calls. Each instance stays within the bound by the calls that its own upstreams have answered, so that the sum over all stays within it without messages. Calls are compared with those to the other versions in the same second, on the same route and distance, over the counts of all instances. Shortly before the deadline most calls move to the target, which shows it under load. Instances stop calling a version that they see fail before the decision is shared. The decision is written under a condition by the first instance of a ranking; the next ones follow if it does not. What the store loses is written again. Upstreams that may precede their order in a paged read are left to the watch. The switch is exposure_share in the settings; without an order no call is made.

--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -15,7 +15,7 @@
 from .policy.feed import BatchPosition, Feed, FeedBatch, classify_batch
 from .policy.selection import Selector
 from .registration import Registration
-from .sharedstate import SharedState, StateDecoder, StateUpdater
+from .sharedstate import ItemHandler, SharedState, StateDecoder, StateUpdater
 from .statestore import HistoryLost, StateStore, StoreChanges, StoreFailure
 
 # A watch answer with this many changes may have been truncated to the store's largest answer, about
@@ -44,8 +44,12 @@
         times: StoreCallTimes,
         feed: Feed,
         relay: Callable[[int, StoreChanges], None],
+        handler: ItemHandler | None = None,
     ) -> None:
-        """Call `on_change` after changes, and `relay` with what was read after a revision."""
+        """Call `on_change` after changes, and `relay` with what was read after a revision.
+
+        Items that `handler` does not apply are applied to `state`.
+        """
         self._clock = clock
         self._store = store
         self._state = state
@@ -83,6 +87,7 @@
             log,
             on_change,
             self._registration.handle_entry_removed,
+            handler,
         )
         self._tasks: list[asyncio.Task] = []
 
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -34,6 +34,7 @@
     WeightedService,
 )
 from .policy.exchange import ExchangeDependencies
+from .policy.exposure import ExposureLimits
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
 from .policy.feed import Feed
 from .policy.latencies import RouteLatencies
@@ -45,6 +46,8 @@
 from .policy.stopping import schedule_stop
 from .randomness import RandomSource
 from .requestlog import RequestLog
+from .rollouts import RolloutRunner, RolloutSettings
+from .rolloutstate import RolloutCodec
 from .sharedstate import SharedState, StateDecoder
 from .statestore import StateStore
 
@@ -77,6 +80,7 @@
     addresses, `config_apply_ms` the time allowed for applying a new configuration, and `cores` the
     processor time of the instance in seconds per second on the scale of the platform's settings.
     `memory_mb` and `descriptors` are the limits of the process, None if they are not known.
+    `exposure` is None where there are no roll-outs.
     """
 
     name: str
@@ -95,6 +99,7 @@
     cores: float = 1.0
     memory_mb: float | None = None
     descriptors: int | None = None
+    exposure: ExposureLimits | None = None
 
 
 class Denial(NamedTuple):
@@ -124,6 +129,7 @@
         caller_codec: CallerCodec,
         make_store: Callable[[Address, ConnectionPool], StateStore],
         decoder: StateDecoder,
+        rollout_codec: RolloutCodec,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -154,12 +160,15 @@
         self._services = (RequestService(self), StatusService(self), DirectoryService(self))
         self._request_log = RequestLog(clock, log, self.counts, self.state)
         self._slow_start = SlowStart(settings.cold, settings.name)
+        store = make_store(settings.store_address, ConnectionPool(clock))
+        self._rollouts = self._create_rollouts(store, rollout_codec)
         self._selector = Selector(
             self.state.registry,
             self._slow_start,
             self._find_limits,
             random.random,
             settings.domain,
+            self._rollouts.routing if self._rollouts else None,
         )
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
         self._pool = ConnectionPool(clock)
@@ -186,7 +195,7 @@
         )
         self._store_follower = StoreFollower(
             clock,
-            make_store(settings.store_address, ConnectionPool(clock)),
+            store,
             decoder,
             self.state,
             self._selector,
@@ -200,6 +209,7 @@
             ),
             feed,
             self._peering.relay,
+            self._rollouts,
         )
 
     @property
@@ -228,6 +238,8 @@
         if settings.hints_address is not None:
             await self._peering.open(settings.hints_address)
         self._store_follower.start()
+        if self._rollouts is not None:
+            self._start_task(self._rollouts.run())
         self._start_task(self._run_maintenance())
         self._log.write(
             Event.STARTED, "gateway", domain=settings.domain, callers=settings.callers_address
@@ -295,6 +307,8 @@
         self._extra_load.set_limits(settings.extra_load)
         self._slow_start.set_limits(settings.cold)
         self._intake.set_limits(derive_limits(settings.memory_mb, settings.descriptors))
+        if self._rollouts is not None and settings.exposure is not None:
+            self._rollouts.set_limits(settings.exposure)
         self._log.write(Event.SETTINGS_RELOADED, "gateway")
 
     def serve(self, request: HttpRequest, connection: CallerConnection) -> ExchangeRunner | None:
@@ -399,6 +413,9 @@
             "caller_connections": len(self._intake),
             "caller_held_bytes": self._intake.held_bytes,
         }
+        if self._rollouts is not None:
+            gauges["rollouts_running"] = self._rollouts.running
+            gauges["rollout_target_calls"] = self._rollouts.target_calls
         return render(self.counts, gauges)
 
     def log_error(self, error: BaseException) -> None:
@@ -458,6 +475,21 @@
                 del self._rotations[key]
             self._caller_times.retain({name for name, _ in routes})
 
+    def _create_rollouts(self, store: StateStore, codec: RolloutCodec) -> RolloutRunner | None:
+        settings = self._settings
+        if settings.exposure is None:
+            return None
+        return RolloutRunner(
+            RolloutSettings(settings.name, settings.domain, settings.exposure),
+            self._clock,
+            store,
+            codec,
+            self.state,
+            self._log,
+            self.counts,
+            lambda: self._peering.share,
+        )
+
     def _choose_service(self, route: Route) -> str:
         if len(route.targets) == 1:
             return route.targets[0].service
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -48,6 +48,8 @@
     ) -> None:
         """Pass the batches of other instances to `on_feed`."""
         self.loop_lag_ms = 0.0
+        # The share of limits over all instances that this instance may use.
+        self.share = 0.0
         self.hints = Hints(selector, self._schedule_hints)
         self._clock = clock
         self._log = log
@@ -110,6 +112,7 @@
     def _update_shares(self, now_ms: float, members: list[Member]) -> None:
         names = self._members.list_recent(now_ms)
         share = self._active.compute_share(self._members.own.name, members, names)
+        self.share = share
         self._extra_load.set_share(share)
         self._selector.set_share(share, now_ms - self._started_ms < RECENT_START_MS)
         self._slow_start.set_instances(names)
--- a/citronpaddle/platform/documents.py
+++ b/citronpaddle/platform/documents.py
@@ -1,6 +1,5 @@
 """Decodes the operator's documents and the upstreams' entries in the platform's store."""
 
-import json
 import re
 from ipaddress import IPv4Address
 from typing import Any
@@ -8,7 +7,7 @@
 from ..adapters.addresses import Address, parse_address
 from ..policy.catalog import CallerLimits, Catalog, Route, ServiceLimits, WeightedService
 from ..policy.registry import Upstream
-from .fields import DocumentError, require_field
+from .fields import DocumentError, parse_object, require_field
 from .teams import decode_teams
 
 CONFIG_KEY = "op/config"
@@ -21,7 +20,7 @@
 
 def decode_catalog(value: bytes) -> Catalog:
     """Return the configuration; raise DocumentError if a field is missing or of the wrong type."""
-    document = _parse_object(value)
+    document = parse_object(value)
     limits = document.get("limits", {})
     return Catalog(
         require_field(document, "version", int),
@@ -87,7 +86,7 @@
     """Return a listed upstream; raise DocumentError if the entry is invalid."""
     if not _UPSTREAM_ID.fullmatch(upstream_id):
         raise DocumentError("the id has characters other than printable ASCII, or is too long")
-    entry = _parse_object(value)
+    entry = parse_object(value)
     host, port = _decode_address(require_field(entry, "address", str))
     state = require_field(entry, "state", str)
     if state not in _UPSTREAM_STATES:
@@ -124,13 +123,3 @@
 def decode_evacuation(key: str) -> str:
     """Return the failure domain that the key takes out of service."""
     return key[len(EVACUATION_PREFIX) :]
-
-
-def _parse_object(value: bytes) -> dict[str, Any]:
-    try:
-        document = json.loads(value)
-    except (ValueError, RecursionError) as error:
-        raise DocumentError(f"not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise DocumentError("not an object")
-    return document
--- a/citronpaddle/platform/entry.py
+++ b/citronpaddle/platform/entry.py
@@ -28,6 +28,7 @@
 from ..status import ExitStatus
 from .codec import PlatformCallerCodec, PlatformStateDecoder
 from .headers import PlatformCodec
+from .rollouts import PlatformRolloutCodec
 from .settings import PlatformSettingsError, load_settings
 from .store import HttpStateStore
 
@@ -60,6 +61,7 @@
         PlatformCallerCodec(),
         HttpStateStore,
         PlatformStateDecoder(),
+        PlatformRolloutCodec(),
     )
     try:
         await gateway.start()
--- a/citronpaddle/platform/fields.py
+++ b/citronpaddle/platform/fields.py
@@ -1,5 +1,6 @@
 """Reads the fields of decoded JSON documents and checks their types."""
 
+import json
 from typing import Any
 
 # Times are added to numbers of the documents; the sum of a larger one is inexact or overflows.
@@ -19,3 +20,14 @@
     if isinstance(value, int | float) and not abs(value) < MAX_NUMBER:
         raise DocumentError(f"field {name} is out of range")
     return value
+
+
+def parse_object(value: bytes) -> dict[str, Any]:
+    """Return the object in a JSON document; raise DocumentError if there is none."""
+    try:
+        document = json.loads(value)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError(f"not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise DocumentError("not an object")
+    return document
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -5,8 +5,10 @@
 
 from ..adapters.addresses import parse_address
 from ..gateway import GatewaySettings
+from ..policy.exposure import ExposureLimits
 from ..policy.extraload import ExtraLoadLimits
 from ..policy.slowstart import ColdLimits
+from .fields import MAX_NUMBER
 
 # Upper limit of the time for which callers may keep a list of addresses.
 MAX_ADDRESS_TTL_S = 2.0
@@ -53,9 +55,21 @@
         cores=_read_cores(document),
         memory_mb=_read_limit(document, "memory_mb"),
         descriptors=_read_limit(document, "max_fds"),
+        exposure=_read_exposure(bounds),
     )
 
 
+def _read_exposure(bounds: dict[str, Any]) -> ExposureLimits | None:
+    """Return the bound of calls to a bad version, or None where there are no roll-outs."""
+    if "exposure_share" not in bounds:
+        return None
+    share = _read_number(bounds, "exposure_share", 0.0)
+    slack = _read_number(bounds, "exposure_slack", 0.0)
+    if not 0.0 <= share <= 1.0 or not 0.0 <= slack < MAX_NUMBER:
+        raise PlatformSettingsError("exposure_share or exposure_slack is out of range")
+    return ExposureLimits(share, slack)
+
+
 def _read_cores(document: dict[str, Any]) -> float:
     """Return the processor capacity: `cpu_share` of a processor that is `cores` times as fast."""
     limits = document.get("limits")
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -192,6 +192,9 @@
         slowness = self._dependencies.selector.record_reply(
             call.upstream.id, call.id, self.route.name, now_ms
         )
+        self._dependencies.selector.versions.record_reply(
+            call.upstream, self.route.name, slowness, now_ms
+        )
         if latency_ms > self._late_threshold_ms:
             self._dependencies.hints.record_answered(call.upstream.id, slowness)
         self._dependencies.latencies.add(self.route, now_ms, latency_ms)
@@ -214,6 +217,8 @@
         )
         if kind is FailureKind.MISDIRECTED:
             self._dependencies.selector.record_misdirected(call.upstream, now_ms)
+        if kind not in NOT_RUN:
+            self._dependencies.selector.versions.record_failure(call.upstream, self.route.name)
         part = self._parts[call.part]
         part.last_failure = kind.value
         if not call.is_sent or kind is FailureKind.MISDIRECTED:
@@ -294,9 +299,12 @@
         for call in calls:
             self._remove_call(call)
             self._parts[call.part].possibly_run_calls += call.is_sent
-            self._dependencies.selector.record_cancelled(
-                call.upstream.id, call.id, now_ms, CANCELLED_LATE_FACTOR * self._late_threshold_ms
-            )
+            late_ms = CANCELLED_LATE_FACTOR * self._late_threshold_ms
+            self._dependencies.selector.record_cancelled(call.upstream.id, call.id, now_ms, late_ms)
+            if call.is_sent and now_ms - call.started_ms > late_ms:
+                self._dependencies.selector.versions.record_abandoned(
+                    call.upstream, self.route.name, now_ms
+                )
             actions.append(Cancel(call))
         return actions
 
--- /dev/null
+++ b/citronpaddle/policy/exposure.py
@@ -0,0 +1,53 @@
+"""Bounds the calls to a version under trial, summed over all instances without messages.
+
+Of all requests that reach a service, the version may get a share and a fixed number beside it. Each
+instance stays within that share of the calls that its own upstreams have answered, so that the sum
+over any set of instances, in touch or not, stays within it too. The fixed number is divided.
+"""
+
+from typing import NamedTuple
+
+# Share of the calls allowed that is used: some calls count here and reach no upstream.
+USED_SHARE = 0.9
+# Share of the fixed number that is divided among the instances. The rest covers instances that
+# have an outdated view of how many they are, and calls from before the order was known.
+USED_SLACK = 0.5
+# Share of the fixed number that may be used at once. The rest becomes available evenly over the
+# roll-out, so that a version that turns bad late is still called on a service with little load.
+FIRST_SLACK = 0.3
+# The pace of a trial as a share of the calls allowed. The rest is saved for the move, which puts
+# the version under the full load before the other versions stop.
+TRIAL_PACE = 0.4
+
+
+class ExposureLimits(NamedTuple):
+    """A bad version gets at most `share` of all requests of its service, plus `slack`."""
+
+    share: float
+    slack: float
+
+
+class Exposure:
+    """Counts one instance's calls to a service and those to the version under trial."""
+
+    def __init__(self, limits: ExposureLimits, slack_share: float, rounding: float) -> None:
+        """Set this instance's share of the slack, and its `rounding`, from 0 to 1.
+
+        Most instances may send less than one call. Their roundings are spread evenly over 0 to 1,
+        so that the sum of the rounded numbers is near the sum of the exact ones.
+        """
+        self._limits = limits
+        self._slack = USED_SLACK * limits.slack * slack_share
+        self._rounding = rounding
+        self.answered = 0
+        self.sent = 0
+
+    def permits(self, is_moving: bool, elapsed_share: float) -> bool:
+        """Return whether one more call may go to the version under trial.
+
+        `elapsed_share` is the share of the roll-out's time that has passed.
+        """
+        slack = self._slack * min(1.0, FIRST_SLACK + (1.0 - FIRST_SLACK) * elapsed_share)
+        pace = 1.0 if is_moving else TRIAL_PACE
+        allowed = slack + USED_SHARE * pace * self._limits.share * self.answered
+        return self.sent + 1 <= allowed + self._rounding
--- a/citronpaddle/policy/registry.py
+++ b/citronpaddle/policy/registry.py
@@ -90,6 +90,10 @@
         """Return the ids of all listed upstreams."""
         return list(self._upstreams)
 
+    def list_versions(self, service: str) -> set[str]:
+        """Return the versions of the listed upstreams of `service`."""
+        return {one.version for one in self._upstreams.values() if one.service == service}
+
     def put(self, upstream: Upstream) -> bool:
         """Add or update an entry; return False if it is older than the current one.
 
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -3,6 +3,7 @@
 Times are in ms on one monotonic clock.
 """
 
+import itertools
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from .registry import Registry, Upstream
 from .slowstart import SlowStart
 from .upstreamstats import MAX_SLOWNESS, UpstreamStats
+from .versions import AnyVersion, VersionRouting
 
 # Cost terms of a choice, in multiples of a baseline reply time.
 _COLD_COST = 0.6
@@ -55,8 +57,10 @@
         get_limits: Callable[[str], ServiceLimits | None],
         draw: Callable[[], float],
         domain: str = "",
+        versions: VersionRouting | None = None,
     ) -> None:
         """Prefer upstreams in `domain`; `draw` returns random numbers from 0 to 1 for ties."""
+        self.versions = versions or AnyVersion()
         self._registry = registry
         self._slow_start = slow_start
         self._get_limits = get_limits
@@ -83,11 +87,11 @@
 
     def is_listed(self, service: str) -> bool:
         """Return whether any upstream of `service` may receive requests."""
-        return bool(self._registry.list_available(service))
+        return bool(self._list_usable(service))
 
     def list_ids(self, service: str) -> list[str]:
         """Return the ids of the upstreams of `service` that may receive requests."""
-        return [upstream.id for upstream in self._registry.list_available(service)]
+        return [upstream.id for upstream in self._list_usable(service)]
 
     def choose(
         self, service: str, now_ms: float, late_threshold_ms: float, avoid: Collection[str] = ()
@@ -97,10 +101,24 @@
         A call open for longer than `late_threshold_ms` adds to its upstream's cost. Ids in `avoid`
         are excluded.
         """
+        for upstreams in self.versions.group(service, self._registry.list_available(service)):
+            choice = self._choose_among(upstreams, service, now_ms, late_threshold_ms, avoid)
+            if choice is not None:
+                return choice
+        return None
+
+    def _choose_among(
+        self,
+        upstreams: tuple[Upstream, ...],
+        service: str,
+        now_ms: float,
+        late_threshold_ms: float,
+        avoid: Collection[str],
+    ) -> Choice | None:
         limits = self._get_limits(service)
         best: Choice | None = None
         best_cost = 0.0
-        for upstream in self._registry.list_available(service):
+        for upstream in upstreams:
             if upstream.id in avoid or not self._has_capacity(upstream, limits, now_ms):
                 continue
             cost, is_healthy = self._estimate_cost(upstream, now_ms, late_threshold_ms)
@@ -134,7 +152,7 @@
         if now_ms - reservation.at_ms > _RESERVATION_VALIDITY_MS:
             return False
         # Its entry may have changed meanwhile, but not its address.
-        available = self._registry.list_available(upstream.service)
+        available = self._list_usable(upstream.service)
         if (upstream.id, upstream.address) not in [(one.id, one.address) for one in available]:
             return False
         return self._has_room(upstream, self._get_limits(upstream.service), now_ms)
@@ -144,7 +162,7 @@
     ) -> float | None:
         """Return the time to the next permit if all upstreams of `service` are rate-limited."""
         limited = self._list_limited(service)
-        if not limited or len(limited) < len(self._registry.list_available(service)):
+        if not limited or len(limited) < len(self._list_usable(service)):
             return None
         permits_ms = [
             self._rate_limits.find_permit_ms(upstream.id, now_ms)
@@ -160,8 +178,12 @@
     def _list_limited(self, service: str) -> list[Upstream]:
         if not self._rate_limits:
             return []
-        available = self._registry.list_available(service)
-        return [one for one in available if self._rate_limits.is_limited(one.id)]
+        usable = self._list_usable(service)
+        return [one for one in usable if self._rate_limits.is_limited(one.id)]
+
+    def _list_usable(self, service: str) -> tuple[Upstream, ...]:
+        groups = self.versions.group(service, self._registry.list_available(service))
+        return groups[0] if len(groups) == 1 else tuple(itertools.chain(*groups))
 
     def _has_capacity(
         self, upstream: Upstream, limits: ServiceLimits | None, now_ms: float
@@ -207,6 +229,7 @@
     ) -> None:
         """Record an open call that was sent; it consumes a permit unless one `is_reserved`."""
         self._call_count += 1
+        self.versions.record_sent(upstream, now_ms)
         if not is_reserved:
             self._rate_limits.take_permit(upstream.id, now_ms)
         self._get_or_create_stats(upstream.id, now_ms).open_sent_ms[call_id] = now_ms
--- /dev/null
+++ b/citronpaddle/policy/versions.py
@@ -0,0 +1,155 @@
+"""Which upstreams of a service may get the next call, by the versions of their software."""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+
+from .judgement import SPAN_MS, Stratum
+from .registry import Upstream
+from .rollout import SLOW_FACTOR, Rollout
+
+# Calls that count as recent when an order becomes known: about as long as that takes.
+RECENT_CALLS_MS = 2_000.0
+# Replies on a route from which its baseline latency is reliable.
+MIN_BASELINE_REPLIES = 20
+
+
+class VersionRouting(ABC):
+    """Selects upstreams by version and receives the results of calls."""
+
+    @abstractmethod
+    def group(
+        self, service: str, upstreams: tuple[Upstream, ...]
+    ) -> tuple[tuple[Upstream, ...], ...]:
+        """Return the upstreams that may get the next call, in groups, the preferred one first."""
+
+    @abstractmethod
+    def record_sent(self, upstream: Upstream, now_ms: float) -> None:
+        """Record a call to an upstream."""
+
+    @abstractmethod
+    def record_reply(self, upstream: Upstream, route: str, slowness: float, now_ms: float) -> None:
+        """Record a reply that took `slowness` times the baseline latency of its route."""
+
+    @abstractmethod
+    def record_failure(self, upstream: Upstream, route: str) -> None:
+        """Record that an upstream has failed a call that it received."""
+
+    @abstractmethod
+    def record_abandoned(self, upstream: Upstream, route: str, now_ms: float) -> None:
+        """Record that a late call was cancelled without a reply."""
+
+
+class AnyVersion(VersionRouting):
+    """Uses upstreams of all versions alike."""
+
+    def group(
+        self, service: str, upstreams: tuple[Upstream, ...]
+    ) -> tuple[tuple[Upstream, ...], ...]:
+        return (upstreams,)
+
+    def record_sent(self, upstream: Upstream, now_ms: float) -> None:
+        """Do nothing."""
+
+    def record_reply(self, upstream: Upstream, route: str, slowness: float, now_ms: float) -> None:
+        """Do nothing."""
+
+    def record_failure(self, upstream: Upstream, route: str) -> None:
+        """Do nothing."""
+
+    def record_abandoned(self, upstream: Upstream, route: str, now_ms: float) -> None:
+        """Do nothing."""
+
+
+class RolloutRouting(VersionRouting):
+    """Routes by the roll-outs in `rollouts`, by service.
+
+    `barred` are versions, by service, that an order names which cannot be followed. They get no
+    calls while the service has others.
+    """
+
+    def __init__(self, domain: str) -> None:
+        self.rollouts: dict[str, Rollout] = {}
+        self.barred: dict[str, str] = {}
+        self.span = 0
+        self._domain = domain
+        self._recent: dict[tuple[str, str], _RecentCalls] = {}
+        self._replies: Counter[str] = Counter()
+
+    def set_time(self, wall_ms: float) -> None:
+        """Set the span of time to which results are counted."""
+        self.span = int(wall_ms // SPAN_MS)
+
+    def count_recent(self, service: str, version: str, now_ms: float) -> int:
+        """Return the recent calls to upstreams of a version."""
+        recent = self._recent.get((service, version))
+        return recent.count(now_ms) if recent is not None else 0
+
+    def group(
+        self, service: str, upstreams: tuple[Upstream, ...]
+    ) -> tuple[tuple[Upstream, ...], ...]:
+        if not self.rollouts and not self.barred:
+            return (upstreams,)
+        if service in self.barred:
+            allowed = tuple(one for one in upstreams if one.version != self.barred[service])
+            upstreams = allowed or upstreams
+        rollout = self.rollouts.get(service)
+        return rollout.group(upstreams) if rollout is not None else (upstreams,)
+
+    def record_sent(self, upstream: Upstream, now_ms: float) -> None:
+        rollout = self.rollouts.get(upstream.service)
+        if rollout is not None:
+            rollout.record_sent(upstream)
+            return
+        key = (upstream.service, upstream.version)
+        if key not in self._recent:
+            self._recent[key] = _RecentCalls()
+        self._recent[key].add(now_ms)
+
+    def record_reply(self, upstream: Upstream, route: str, slowness: float, now_ms: float) -> None:
+        self._replies[route] += 1
+        # A cold upstream is slow, whatever its version, and any may be while the baseline is new.
+        is_slow = slowness >= SLOW_FACTOR and upstream.cold_until_ms <= now_ms
+        self._record(upstream, route, is_slow and self._replies[route] >= MIN_BASELINE_REPLIES)
+
+    def record_failure(self, upstream: Upstream, route: str) -> None:
+        self._record(upstream, route, True)
+
+    def record_abandoned(self, upstream: Upstream, route: str, now_ms: float) -> None:
+        # As slow as it is, a cold upstream is expected to be.
+        if upstream.cold_until_ms <= now_ms:
+            self._record(upstream, route, True)
+
+    def _record(self, upstream: Upstream, route: str, is_bad: bool) -> None:
+        rollout = self.rollouts.get(upstream.service)
+        if rollout is not None and rollout.is_running:
+            stratum = Stratum(self.span, route, upstream.domain != self._domain)
+            rollout.record_answer(upstream, stratum, is_bad)
+
+
+class _RecentCalls:
+    """Counts the calls of the newest `RECENT_CALLS_MS` to twice that."""
+
+    __slots__ = ("_started_ms", "_current", "_previous")
+
+    def __init__(self) -> None:
+        self._started_ms = 0.0
+        self._current = 0
+        self._previous = 0
+
+    def add(self, now_ms: float) -> None:
+        """Count a call."""
+        self._advance(now_ms)
+        self._current += 1
+
+    def count(self, now_ms: float) -> int:
+        """Return the number of calls."""
+        self._advance(now_ms)
+        return self._previous + self._current
+
+    def _advance(self, now_ms: float) -> None:
+        if now_ms - self._started_ms < RECENT_CALLS_MS:
+            return
+        is_adjacent = now_ms - self._started_ms < 2 * RECENT_CALLS_MS
+        self._previous = self._current if is_adjacent else 0
+        self._current = 0
+        self._started_ms = now_ms
--- a/citronpaddle/sharedstate.py
+++ b/citronpaddle/sharedstate.py
@@ -23,6 +23,14 @@
 RESTORE_GRACE_MS = 10_000.0
 
 
+class ItemHandler(ABC):
+    """Applies the store's items of one part of the product."""
+
+    @abstractmethod
+    def apply(self, item: StoreItem) -> bool:
+        """Apply a change; return False if its key belongs to another part."""
+
+
 class StateDecoder(ABC):
     """Decodes the platform's documents; an invalid document gives the reason instead."""
 
@@ -78,8 +86,13 @@
         log: EventLog,
         on_change: Callable[[], None],
         on_own_entry_removed: Callable[[], None],
+        handler: ItemHandler | None = None,
     ) -> None:
-        """Call `on_change` after changes, the other when this instance's entry was removed."""
+        """Call `on_change` after changes, the other when this instance's entry was removed.
+
+        Items that `handler` does not apply are applied to the state.
+        """
+        self._handler = handler
         self._clock = clock
         self._decoder = decoder
         self._state = state
@@ -138,13 +151,30 @@
                 self._missing_since_restore.add(key)
             else:
                 self._apply_item(StoreItem(key, None, view.revision))
-        for item in view.items:
-            if item.revision > removed.get(item.key, 0):
-                self._apply_item(item)
+        # Those that changed while the pages were read come last; see `_may_precede_order`.
+        for item in sorted(view.items, key=lambda item: item.revision > view.revision):
+            if item.revision <= view.revision or not self._may_precede_order(item):
+                if item.revision > removed.get(item.key, 0):
+                    self._apply_item(item)
         self._is_restored = False
         self._state.revision = max(self._state.revision, view.revision)
         self._on_change()
 
+    def _may_precede_order(self, item: StoreItem) -> bool:
+        """Return whether an item that is newer than its view brings a new version of a service.
+
+        The view may lack the order of the roll-out to which the upstream belongs. It is left to the
+        watch, which delivers both in order.
+        """
+        upstream_id = self._decoder.find_upstream_id(item.key)
+        if self._handler is None or upstream_id is None or item.value is None:
+            return False
+        decoded = self._decoder.decode_upstream(upstream_id, item.value, self._clock.now_ms())
+        if isinstance(decoded, str):
+            return False
+        versions = self._state.registry.list_versions(decoded.service)
+        return bool(versions) and decoded.version not in versions
+
     def _apply_item(self, item: StoreItem) -> None:
         """Apply one change, unless a newer one of its key has been applied.
 
@@ -171,6 +201,8 @@
                 self._removed_while_reading[item.key] = item.revision
         else:
             self._revisions[item.key] = item.revision
+        if self._handler is not None and self._handler.apply(item):
+            return
         upstream_id = self._decoder.find_upstream_id(item.key)
         out_domain = self._decoder.find_domain_taken_out(item.key)
         if upstream_id is not None:
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -14,6 +14,7 @@
 from test_fleet import make_config, make_entry
 
 from citronpaddle.adapters.connections import Address
+from citronpaddle.adapters.counts import Counts
 from citronpaddle.adapters.eventlog import EventLog
 from citronpaddle.adapters.hintchannel import PeerMessage, decode
 from citronpaddle.availability import StoreCallTimes
@@ -22,6 +23,8 @@
 from citronpaddle.gateway import WATCH_INTERVAL_SHARE, WATCHER_INTERVAL_SHARE
 from citronpaddle.peering import Peering
 from citronpaddle.platform.codec import PlatformStateDecoder
+from citronpaddle.platform.rollouts import PlatformRolloutCodec
+from citronpaddle.policy.exposure import ExposureLimits
 from citronpaddle.policy.extraload import ExtraLoad, ExtraLoadLimits
 from citronpaddle.policy.feed import Feed
 from citronpaddle.policy.members import Member, Members
@@ -29,16 +32,21 @@
 from citronpaddle.policy.selection import Selector
 from citronpaddle.policy.slowstart import ColdLimits, SlowStart
 from citronpaddle.randomness import RandomSource
+from citronpaddle.rollouts import RolloutRunner, RolloutSettings
 from citronpaddle.sharedstate import SharedState
 from citronpaddle.statestore import (
+    Committed,
+    Conflict,
     HistoryLost,
     Lease,
     LeaseEnded,
+    Precondition,
     StateStore,
     StoreChanges,
     StoreFailure,
     StoreItem,
     StoreView,
+    StoreWrite,
 )
 
 # The limits of the platform's store and of the product's client for it.
@@ -111,6 +119,7 @@
         self.history: list[StoreItem] = []
         self.revision = 1
         self.compacted_revision = 0
+        self.commits = 0
         self.are_watches_silent = False
         self.is_down = False
         self.delay_ms = 4.0
@@ -175,6 +184,24 @@
         self.write(key, value)
         return True
 
+    def commit(
+        self,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[StoreWrite, ...],
+        deletes: tuple[str, ...],
+    ) -> Committed | Conflict:
+        """Apply a transaction if its preconditions hold."""
+        self.commits += 1
+        for key, revision in preconditions:
+            item = self.items.get(key)
+            if (item.revision if item else 0) != revision:
+                return Conflict()
+        for key, value in writes:
+            self.write(key, value)
+        for key in deletes:
+            self.write(key, None)
+        return Committed(self.revision)
+
     def expire(self, now_ms: float) -> None:
         """End the leases whose time is over."""
         for lease_id, (until_ms, _) in list(self._leases.items()):
@@ -359,6 +386,14 @@
             return is_written
         return None if is_written and lease.era == self._era else LeaseEnded()
 
+    async def commit(
+        self,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[StoreWrite, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> Committed | Conflict | StoreFailure:
+        return await self._call(lambda: self._store.commit(preconditions, writes, deletes))
+
 
 class Datagrams:
     """The network between instances; datagrams are delayed, and some are lost."""
@@ -415,8 +450,22 @@
         self.state = SharedState(Registry(), Members(own))
         self.path = Path(world.store, draw)
         slow_start = SlowStart(ColdLimits(1.5, 5.0), name)
-        selector = Selector(self.state.registry, slow_start, lambda name: None, draw, "a")
         log = EventLog(name, clock, world.log_descriptor)
+        self.counts = Counts()
+        self.rollouts = RolloutRunner(
+            RolloutSettings(name, "a", ExposureLimits(0.1, 50.0)),
+            clock,
+            self.path,
+            PlatformRolloutCodec(),
+            self.state,
+            log,
+            self.counts,
+            lambda: self.peering.share,
+        )
+        selector = Selector(
+            self.state.registry, slow_start, lambda name: None, draw, "a", self.rollouts.routing
+        )
+        self.selector = selector
         feed = Feed(name)
         limits = ExtraLoadLimits(0.2, 172.0, 10_000.0)
         extra_load = ExtraLoad(limits, clock.now_ms())
@@ -446,7 +495,9 @@
             ),
             feed,
             self.peering.relay,
+            self.rollouts,
         )
+        self._rollout_task: asyncio.Task | None = None
         self._maintenance: asyncio.Task | None = None
 
     @property
@@ -458,14 +509,24 @@
         """Start following the store."""
         await self.peering.open(self.address)
         self.follower.start()
+        self.resume_rollouts()
         self._maintenance = asyncio.ensure_future(self._maintain())
 
     async def kill(self) -> None:
         """Stop at once, without leaving the list of instances."""
+        self.pause_rollouts()
         self._maintenance.cancel()
         await self.follower.stop()
         self.peering.close()
 
+    def pause_rollouts(self) -> None:
+        """Stop judging and writing."""
+        self._rollout_task.cancel()
+
+    def resume_rollouts(self) -> None:
+        """Start to judge and write, or do so again."""
+        self._rollout_task = asyncio.ensure_future(self.rollouts.run())
+
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_MS / 1_000)
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -14,6 +14,7 @@
 from citronpaddle.gateway import Gateway, GatewaySettings
 from citronpaddle.platform.codec import PlatformCallerCodec, PlatformStateDecoder
 from citronpaddle.platform.headers import PlatformCodec
+from citronpaddle.platform.rollouts import PlatformRolloutCodec
 from citronpaddle.platform.store import HttpStateStore
 from citronpaddle.policy.extraload import ExtraLoadLimits
 from citronpaddle.policy.slowstart import ColdLimits
@@ -98,6 +99,7 @@
             PlatformCallerCodec(),
             HttpStateStore,
             PlatformStateDecoder(),
+            PlatformRolloutCodec(),
         )
 
     def list_logged(self, event: str) -> list[dict[str, Any]]:
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,344 @@
+"""Roll-outs under load and under faults, with many instances in virtual time."""
+
+import json
+
+import pytest
+from exchanges import make_upstream
+from rolloutworld import BASE_MS, NEW, OLD, Load, Result, RolloutWorld, run_world
+
+from citronpaddle.platform.rollouts import ORDER_PREFIX, STATUS_PREFIX, PlatformRolloutCodec
+from citronpaddle.policy.exposure import Exposure, ExposureLimits
+from citronpaddle.policy.judgement import RUNNING_THRESHOLDS, CallCounts, Stratum, Tally, find_fault
+from citronpaddle.policy.rollout import Rollout, RolloutOrder, RolloutState
+from citronpaddle.randomness import RandomSource
+from citronpaddle.rolloutstate import RECORD_PREFIX, InvalidOrder
+
+SUCCEEDED, ROLLED_BACK = ("succeeded", NEW), ("rolled_back", NEW)
+DEADLINE_S = 30.0
+
+
+def vary(change=lambda load, latency_ms, chance: Result(latency_ms)):
+    """Return a behaviour with varying latencies, which `change` makes bad."""
+    random = RandomSource(5)
+
+    def behave(load: Load) -> Result:
+        latency_ms = BASE_MS * random.lognormvariate(0.0, 0.35)
+        return change(load, latency_ms, random.random())
+
+    return behave
+
+
+def fail_if(condition):
+    """Return a behaviour that fails 40% of the calls that meet `condition`."""
+    return vary(lambda load, ms, chance: Result(ms, condition(load) and chance < 0.4))
+
+
+def is_new(load: Load) -> bool:
+    return load.version == NEW
+
+
+async def roll_out(world: RolloutWorld, rate_per_s: float, duration_s: float = 33.0) -> None:
+    """Order the new version under load, start its upstreams, and go on."""
+    await world.play(6, rate_per_s, "rrq")
+    world.write_order()
+    await world.play(1, rate_per_s, "rrq")
+    world.start_new()
+    await world.play(duration_s - 1, rate_per_s, "rrq")
+
+
+def make_steady(rate_per_s: float):
+    """Return a scenario with a roll-out under Poisson arrivals."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        await roll_out(world, rate_per_s)
+
+    return scenario
+
+
+def check_succeeded(world: RolloutWorld) -> None:
+    """Assert that the roll-out succeeded in time, and that no later call used the old version."""
+    assert world.read_status() == SUCCEEDED
+    assert world.seen["succeeded"] <= world.ordered_ms + DEADLINE_S * 1_000
+    known_ms = world.seen["succeeded"] + 2_500
+    assert {one.version for one in world.sent if one.at_ms > known_ms} == {NEW}
+
+
+@pytest.mark.parametrize("rate_per_s", [8, 60, 400])
+def test_good_version_succeeds(rate_per_s):
+    """Guards against a good version that is not taken. Load: steady, 8 to 400 requests/s."""
+    check_succeeded(run_world(make_steady(rate_per_s), vary()))
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "rate_per_s"),
+    [
+        pytest.param(fail_if(is_new), 60, id="at once"),
+        pytest.param(fail_if(lambda load: is_new(load) and load.at_s > 15), 60, id="late"),
+        pytest.param(fail_if(lambda load: is_new(load) and load.open_calls > 2), 400, id="loaded"),
+        pytest.param(fail_if(lambda load: is_new(load) and load.route == "q"), 100, id="one route"),
+        pytest.param(
+            vary(lambda load, ms, chance: Result(ms * (4 if is_new(load) and chance < 0.5 else 1))),
+            60,
+            id="slow",
+        ),
+    ],
+)
+def test_bad_version_is_rolled_back(behaviour, rate_per_s):
+    """Guards against a bad version that stays or gets too many calls. Load: steady."""
+    world = run_world(make_steady(rate_per_s), behaviour)
+    assert world.read_status() == ROLLED_BACK
+    assert world.seen["rolled_back"] <= world.ordered_ms + DEADLINE_S * 1_000
+    world.check_bad_version()
+
+
+def test_good_version_is_not_blamed_for_a_burst():
+    """Guards against blaming the new version for a burst. Load: all upstreams slow for 4 s."""
+
+    def change(load, latency_ms, chance):
+        is_burst = 8 < load.at_s < 12
+        return Result(latency_ms * (6 if is_burst else 1), is_burst and chance < 0.2)
+
+    check_succeeded(run_world(make_steady(60), vary(change)))
+
+
+def test_good_version_is_not_blamed_for_failing_old_upstreams():
+    """Guards against counting failures of old upstreams. Load: 40% of their calls fail for 12 s."""
+    is_failing = fail_if(lambda load: load.version == OLD and 8 < load.at_s < 20)
+    check_succeeded(run_world(make_steady(60), is_failing))
+
+
+@pytest.mark.parametrize("fault", ["dies", "pauses", "is cut off"])
+def test_another_instance_takes_over(fault):
+    """Guards against a roll-out without an end when the instance that writes first is lost.
+
+    Load: steady. It is lost before the move and, unless it died, returns after the decision.
+    """
+
+    async def scenario(world: RolloutWorld) -> None:
+        await roll_out(world, 60, 20)
+        number = world.find_first()
+        first = world.instances[number]
+        if fault == "dies":
+            del world.instances[number]
+            await first.kill()
+        elif fault == "pauses":
+            world.paused.add(number)
+            first.pause_rollouts()
+        else:
+            first.path.set_fault("cut")
+        await world.play(12, 60)
+        if fault != "dies":
+            first.path.set_fault(None)
+            first.resume_rollouts()
+            await world.play(6, 60)
+            assert first.rollouts.routing.rollouts["s0"].state is RolloutState.SUCCEEDED
+
+    world = run_world(scenario, vary())
+    check_status_in_time(world)
+
+
+def check_status_in_time(world: RolloutWorld) -> None:
+    assert world.read_status() == SUCCEEDED
+    assert world.seen["succeeded"] <= world.ordered_ms + DEADLINE_S * 1_000
+
+
+def test_instance_without_the_store_stops_the_trial():
+    """Guards against calls to a version whose roll-back is unknown. Load: steady."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        await roll_out(world, 100, 8)
+        cut = world.instances[4]
+        cut.path.set_fault("cut")
+        await world.play(5, 100)
+        before = cut.rollouts.target_calls
+        assert before > 0
+        await world.play(10, 100)
+        assert cut.rollouts.target_calls == before
+
+    run_world(scenario, vary())
+
+
+@pytest.mark.parametrize("outage_s", [(10, 18), (22, 34)])
+def test_outage_of_the_store(outage_s):
+    """Guards against unbounded calls in an outage, and against no decision after it.
+
+    Load: steady. The version turns bad while the store is away, and the instances stop by what
+    they see themselves; the decision follows on the store's return.
+    """
+    begin_s, end_s = outage_s
+
+    async def scenario(world: RolloutWorld) -> None:
+        await roll_out(world, 100, begin_s)
+        world.store.is_down = True
+        await world.play(end_s - begin_s, 100)
+        world.store.is_down = False
+        await world.play(38 - end_s, 100)
+
+    is_bad = fail_if(lambda load: is_new(load) and load.at_s > begin_s + 1)
+    world = run_world(scenario, is_bad)
+    assert world.read_status() == ROLLED_BACK
+    world.check_bad_version()
+
+
+@pytest.mark.parametrize("at_s", [10.0, 30.0])
+def test_status_lost_with_the_store_is_written_again(at_s):
+    """Guards against a roll-out that starts again when the store returns from an older copy.
+
+    Load: steady. Status, record and counts are gone, and the operator writes the order again.
+    """
+
+    async def scenario(world: RolloutWorld) -> None:
+        await roll_out(world, 60, at_s)
+        status = world.read_status()
+        order = world.store.items[ORDER_PREFIX + "s0"].value
+        for key in list(world.store.items):
+            if key.startswith((STATUS_PREFIX, "citronpaddle/rollout", ORDER_PREFIX)):
+                world.store.write(key, None)
+        await world.play(1, 60)
+        world.store.write(ORDER_PREFIX + "s0", order)
+        await world.play(3, 60)
+        assert world.read_status() == status
+        assert NEW in json.loads(world.store.items[RECORD_PREFIX + "s0"].value)["target_version"]
+        await world.play(30 - at_s, 60)
+
+    check_status_in_time(run_world(scenario, vary()))
+
+
+def test_two_orders_in_a_row():
+    """Guards against calls to a version that was not judged yet as another one was ordered.
+
+    Load: steady. Version v3 is ordered 10 s after v2, whose upstreams stay listed.
+    """
+
+    async def scenario(world: RolloutWorld) -> None:
+        await roll_out(world, 60, 10)
+        assert world.read_status() == ("running", NEW)
+        world.write_order("v3")
+        world.start_new("v3")
+        await world.play(33, 60)
+        assert world.read_status() == ("succeeded", "v3")
+        late_ms = world.ordered_ms + 2_500
+        assert {one.version for one in world.sent if one.at_ms > late_ms} == {OLD, "v3"}
+
+    run_world(scenario, vary())
+
+
+def test_rolled_back_version_stays_out_during_the_next_order():
+    """Guards against using a bad version as if it were an old one. Load: steady."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        await roll_out(world, 100, 15)
+        assert world.read_status() == ROLLED_BACK
+        world.write_order("v3")
+        world.start_new("v3")
+        await world.play(33, 100)
+        assert world.read_status() == ("succeeded", "v3")
+        assert not any(one.version == NEW for one in world.sent if one.at_ms > world.ordered_ms)
+
+    run_world(scenario, fail_if(is_new))
+
+
+@pytest.mark.parametrize("version", ["v9", NEW])
+def test_order_for_what_does_not_exist_is_rolled_back(version):
+    """Guards against replacing a service by nothing. Load: steady; no upstream has the version."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.write_order(version, 8)
+        world.write_order(version, 8, "s9")
+        await world.play(12, 60)
+        assert world.read_status() == ("rolled_back", version)
+        assert world.read_status("s9") == ("rolled_back", version)
+        assert not world.refused
+
+    run_world(scenario, vary())
+
+
+@pytest.mark.parametrize("duration_s", [0, -3, "10", None, True, 1e300, [1]])
+def test_malformed_order_is_refused(duration_s):
+    """Guards against a flood by an order that can't be followed. Load: steady."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.write_order(duration_s=duration_s)
+        await world.play(2, 60)
+        world.start_new()
+        await world.play(6, 60)
+        assert world.read_status() is None
+        assert not any(one.version == NEW for one in world.sent)
+        assert world.instances[0].counts.values[("rollouts", "refused")] == 1
+        world.write_order(duration_s=10)
+        await world.play(12, 60)
+        assert world.read_status() == SUCCEEDED
+
+    run_world(scenario, vary(), count=3)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff", b"[]", b"{}", b'{"target_version":""}', b"[" * 9_999]
+)
+def test_unreadable_order_names_no_version(value):
+    """Guards against an error on an unreadable order."""
+    order = PlatformRolloutCodec().decode_order("s0", value)
+    assert isinstance(order, InvalidOrder) and order.target_version is None
+
+
+@pytest.mark.parametrize("count", [9, 62])
+def test_exposure_is_bounded_over_all_instances(count):
+    """Guards against a bound that holds for each instance only. Load: steady, little for each.
+
+    The instances find no fault here: the version fails, but is never judged.
+    """
+
+    async def scenario(world: RolloutWorld) -> None:
+        for instance in world.instances.values():
+            instance.pause_rollouts()
+        world.write_order(duration_s=12)
+        world.start_new()
+        await world.play(12, 100)
+
+    world = run_world(scenario, fail_if(is_new), count)
+    target, total = world.count_target(until_s=12)
+    assert 0.2 * total * 0.1 <= target <= 0.1 * total + 50
+
+
+def test_no_calls_to_the_store_without_an_order():
+    """Guards against paying for roll-outs where there are none. Load: steady, mixed versions."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.start_new()
+        await world.play(20, 60)
+        assert world.store.commits == 0
+        assert {one.version for one in world.sent} == {OLD, NEW}
+
+    run_world(scenario, vary())
+
+
+def test_upstream_that_is_listed_before_its_order_is_counted():
+    """Guards against a flood by upstreams that are known before the order. Load: steady."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.start_new()
+        await world.play(8, 100)
+        world.write_order()
+        await world.play(31, 100)
+
+    run_world(scenario, fail_if(is_new)).check_bad_version()
+
+
+def test_fault_in_one_span_is_no_evidence():
+    """Guards against blame for an outage that begins within a span, which later calls meet."""
+    tally = Tally()
+    tally.add(Stratum(7, "r", False), CallCounts(target=8, target_bad=7, other=80, other_bad=8))
+    assert find_fault(tally, 7, RUNNING_THRESHOLDS) is None
+    tally.add(Stratum(8, "r", False), CallCounts(target=8, target_bad=7, other=80, other_bad=8))
+    assert find_fault(tally, 8, RUNNING_THRESHOLDS).scope == "all routes"
+
+
+def test_old_upstreams_get_no_calls_after_success():
+    """Guards against calls to upstreams that have stopped, and against losing later versions."""
+    rollout = Rollout(
+        RolloutOrder("s0", NEW, 1_000.0), Exposure(ExposureLimits(0.1, 5.0), 1.0, 0.5)
+    )
+    rollout.other_versions = {OLD}
+    rollout.state = RolloutState.SUCCEEDED
+    upstreams = tuple(make_upstream(name, version=name) for name in (OLD, NEW, "v3"))
+    assert [one.id for one in rollout.group(upstreams)[0]] == [NEW, "v3"]
