Keep roll-outs across a restore of the store

Cause: after a restore, revisions of the earlier era are given out again, so that a condition on one of them may hold by chance.

Change: no step is written until the store has been read in its new era.

--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -338,6 +338,9 @@
         shared = self._shared[run.order.service]
         if decision.step is Step.NONE or not shared.order_revision:
             return
+        if self._state.revision == 0 or self._store.era != self._state.era:
+            # The known revisions are those of an earlier era of the store.
+            return
         rank = self._list_ranked(run.order.service).index(self._settings.name)
         takeover_ms = ROLL_BACK_TAKEOVER_MS if decision.step is Step.ROLL_BACK else TAKEOVER_MS
         if now_ms - run.due_since_ms < rank * takeover_ms:
