Retry a call to the target version at the other versions

Cause: with two calls allowed for a request, both went to the target version while the bound allowed it, and the failure of a bad version reached the caller.

Change: retries and hedges during a trial prefer the other versions.

--- a/citronpaddle/policy/rollout.py
+++ b/citronpaddle/policy/rollout.py
@@ -6,6 +6,7 @@
 instances judge from the counts of all; one of them writes the decision. Times are in ms.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
@@ -158,8 +159,13 @@
             return Progress.ENDED
         return Progress.MOVING if self.is_moving else Progress.RUNNING
 
-    def group(self, upstreams: tuple[Upstream, ...]) -> tuple[tuple[Upstream, ...], ...]:
-        """Return the upstreams that may get the next call, in groups, the preferred one first."""
+    def group(
+        self, upstreams: tuple[Upstream, ...], tried: Collection[str] = ()
+    ) -> tuple[tuple[Upstream, ...], ...]:
+        """Return the upstreams that may get the next call, in groups, the preferred one first.
+
+        A retry or a hedge goes to the other versions: a route limits how often a request is tried.
+        """
         if self.barred_versions:
             upstreams = tuple(one for one in upstreams if one.version not in self.barred_versions)
         if self.state is RolloutState.SUCCEEDED:
@@ -173,7 +179,7 @@
         if self.has_fault or self.is_suspended or not self._may_try():
             return (others,)
         targets = tuple(one for one in upstreams if one.version == target)
-        if self.is_moving and self._calls % COMPARED_EVERY == 0:
+        if tried or (self.is_moving and self._calls % COMPARED_EVERY == 0):
             return others, targets
         return targets, others
 
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -101,7 +101,8 @@
         A call open for longer than `late_threshold_ms` adds to its upstream's cost. Ids in `avoid`
         are excluded.
         """
-        for upstreams in self.versions.group(service, self._registry.list_available(service)):
+        available = self._registry.list_available(service)
+        for upstreams in self.versions.group(service, available, avoid):
             choice = self._choose_among(upstreams, service, now_ms, late_threshold_ms, avoid)
             if choice is not None:
                 return choice
--- a/citronpaddle/policy/versions.py
+++ b/citronpaddle/policy/versions.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections import Counter
+from collections.abc import Collection
 
 from .judgement import SPAN_MS, Stratum
 from .registry import Upstream
@@ -18,9 +19,12 @@
 
     @abstractmethod
     def group(
-        self, service: str, upstreams: tuple[Upstream, ...]
+        self, service: str, upstreams: tuple[Upstream, ...], tried: Collection[str] = ()
     ) -> tuple[tuple[Upstream, ...], ...]:
-        """Return the upstreams that may get the next call, in groups, the preferred one first."""
+        """Return the upstreams that may get the next call, in groups, the preferred one first.
+
+        `tried` are the ids of upstreams that have had a call of the same request.
+        """
 
     @abstractmethod
     def record_sent(self, upstream: Upstream, now_ms: float) -> None:
@@ -43,7 +47,7 @@
     """Uses upstreams of all versions alike."""
 
     def group(
-        self, service: str, upstreams: tuple[Upstream, ...]
+        self, service: str, upstreams: tuple[Upstream, ...], tried: Collection[str] = ()
     ) -> tuple[tuple[Upstream, ...], ...]:
         return (upstreams,)
 
@@ -85,7 +89,7 @@
         return recent.count(now_ms) if recent is not None else 0
 
     def group(
-        self, service: str, upstreams: tuple[Upstream, ...]
+        self, service: str, upstreams: tuple[Upstream, ...], tried: Collection[str] = ()
     ) -> tuple[tuple[Upstream, ...], ...]:
         if not self.rollouts and not self.barred:
             return (upstreams,)
@@ -93,7 +97,7 @@
             allowed = tuple(one for one in upstreams if one.version != self.barred[service])
             upstreams = allowed or upstreams
         rollout = self.rollouts.get(service)
-        return rollout.group(upstreams) if rollout is not None else (upstreams,)
+        return rollout.group(upstreams, tried) if rollout is not None else (upstreams,)
 
     def record_sent(self, upstream: Upstream, now_ms: float) -> None:
         rollout = self.rollouts.get(upstream.service)
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -16,6 +16,7 @@
 from citronpaddle.platform.headers import PlatformCodec
 from citronpaddle.platform.rollouts import PlatformRolloutCodec
 from citronpaddle.platform.store import HttpStateStore
+from citronpaddle.policy.exposure import ExposureLimits
 from citronpaddle.policy.extraload import ExtraLoadLimits
 from citronpaddle.policy.slowstart import ColdLimits
 from citronpaddle.randomness import RandomSource
@@ -70,10 +71,15 @@
 class GatewaySetup:
     """One entry instance with a stand-in for the platform."""
 
-    def __init__(self, platform: PlatformStandIn) -> None:
+    def __init__(
+        self,
+        platform: PlatformStandIn,
+        name: str = "i0",
+        exposure: ExposureLimits | None = None,
+    ) -> None:
         self.platform = platform
         self.settings = GatewaySettings(
-            name="i0",
+            name=name,
             domain="a",
             callers_address=("127.0.0.1", find_port()),
             ready_address=("127.0.0.1", find_port()),
@@ -86,6 +92,7 @@
             cold=ColdLimits(1.5, 5.0),
             min_lease_ms=1_000.0,
             config_apply_ms=30.0,
+            exposure=exposure,
         )
         clock = SystemClock()
         self._log_reader, log_writer = os.pipe()
@@ -94,7 +101,7 @@
             self.settings,
             clock,
             RandomSource(1),
-            EventLog("i0", clock, log_writer),
+            EventLog(name, clock, log_writer),
             PlatformCodec(),
             PlatformCallerCodec(),
             HttpStateStore,
