--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -102,11 +102,13 @@
         are excluded.
         """
         available = self._registry.list_available(service)
+        fallback: Choice | None = None
         for upstreams in self.versions.group(service, available, avoid):
             choice = self._choose_among(upstreams, service, now_ms, late_threshold_ms, avoid)
-            if choice is not None:
+            if choice is not None and choice.is_healthy:
                 return choice
-        return None
+            fallback = fallback or choice
+        return fallback
 
     def _choose_among(
         self,
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -35,20 +35,22 @@
     return load.version == NEW
 
 
-async def roll_out(world: RolloutWorld, rate_per_s: float, duration_s: float = 33.0) -> None:
+async def roll_out(
+    world: RolloutWorld, rate_per_s: float, duration_s: float = 33.0, routes: str = "rrq"
+) -> None:
     """Order the new version under load, start its upstreams, and go on."""
-    await world.play(6, rate_per_s, "rrq")
+    await world.play(6, rate_per_s, routes)
     world.write_order()
-    await world.play(1, rate_per_s, "rrq")
+    await world.play(1, rate_per_s, routes)
     world.start_new()
-    await world.play(duration_s - 1, rate_per_s, "rrq")
+    await world.play(duration_s - 1, rate_per_s, routes)
 
 
-def make_steady(rate_per_s: float):
-    """Return a scenario with a roll-out under Poisson arrivals."""
+def make_steady(rate_per_s: float, routes: str = "rrq"):
+    """Return a scenario with a roll-out under Poisson arrivals, spread evenly over `routes`."""
 
     async def scenario(world: RolloutWorld) -> None:
-        await roll_out(world, rate_per_s)
+        await roll_out(world, rate_per_s, routes=routes)
 
     return scenario
 
@@ -68,22 +70,30 @@
 
 
 @pytest.mark.parametrize(
-    ("behaviour", "rate_per_s"),
+    ("behaviour", "rate_per_s", "routes"),
     [
-        pytest.param(fail_if(is_new), 60, id="at once"),
-        pytest.param(fail_if(lambda load: is_new(load) and load.at_s > 15), 60, id="late"),
-        pytest.param(fail_if(lambda load: is_new(load) and load.open_calls > 2), 400, id="loaded"),
-        pytest.param(fail_if(lambda load: is_new(load) and load.route == "q"), 100, id="one route"),
+        pytest.param(fail_if(is_new), 60, "rrq", id="at once"),
+        pytest.param(fail_if(lambda load: is_new(load) and load.at_s > 20), 200, "rrq", id="late"),
+        pytest.param(
+            fail_if(lambda load: is_new(load) and load.open_calls > 2), 400, "rrq", id="loaded"
+        ),
+        pytest.param(
+            fail_if(lambda load: is_new(load) and load.route == "q"),
+            300,
+            "rrrrrrrrrq",
+            id="one route",
+        ),
         pytest.param(
             vary(lambda load, ms, chance: Result(ms * (4 if is_new(load) and chance < 0.5 else 1))),
             60,
+            "rrq",
             id="slow",
         ),
     ],
 )
-def test_bad_version_is_rolled_back(behaviour, rate_per_s):
+def test_bad_version_is_rolled_back(behaviour, rate_per_s, routes):
     """Guards against a bad version that stays or gets too many calls. Load: steady."""
-    world = run_world(make_steady(rate_per_s), behaviour)
+    world = run_world(make_steady(rate_per_s, routes), behaviour)
     assert world.read_status() == ROLLED_BACK
     assert world.seen["rolled_back"] <= world.ordered_ms + DEADLINE_S * 1_000
     world.check_bad_version()
