--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -14,7 +14,9 @@
 from citronpaddle.gateway import Gateway, GatewaySettings
 from citronpaddle.platform.codec import PlatformCallerCodec, PlatformStateDecoder
 from citronpaddle.platform.headers import PlatformCodec
+from citronpaddle.platform.rollouts import PlatformRolloutCodec
 from citronpaddle.platform.store import HttpStateStore
+from citronpaddle.policy.exposure import ExposureLimits
 from citronpaddle.policy.extraload import ExtraLoadLimits
 from citronpaddle.policy.quota import QuotaLimits
 from citronpaddle.policy.slowstart import ColdLimits
@@ -70,10 +72,15 @@
 class GatewaySetup:
     """One entry instance with a stand-in for the platform."""
 
-    def __init__(self, platform: PlatformStandIn) -> None:
+    def __init__(
+        self,
+        platform: PlatformStandIn,
+        name: str = "i0",
+        exposure: ExposureLimits | None = None,
+    ) -> None:
         self.platform = platform
         self.settings = GatewaySettings(
-            name="i0",
+            name=name,
             domain="a",
             callers_address=("127.0.0.1", find_port()),
             ready_address=("127.0.0.1", find_port()),
@@ -87,6 +94,7 @@
             min_lease_ms=1_000.0,
             config_apply_ms=30.0,
             quota=QuotaLimits(window_ms=1e6, slack=16.0),
+            exposure=exposure,
         )
         clock = SystemClock()
         self._log_reader, log_writer = os.pipe()
@@ -95,11 +103,12 @@
             self.settings,
             clock,
             RandomSource(1),
-            EventLog("i0", clock, log_writer),
+            EventLog(name, clock, log_writer),
             PlatformCodec(),
             PlatformCallerCodec(),
             HttpStateStore,
             PlatformStateDecoder(),
+            PlatformRolloutCodec(),
         )
 
     def list_logged(self, event: str) -> list[dict[str, Any]]:
