Keep the rate of cold upstreams when a peer reports a recovery

Cause: a hint ended the avoidance of an upstream here without marking it as possibly cold, as its first reply does; later calls were not limited. Several calls could also be made before a probe was answered. Change: the hint marks it; one call is sent for each probe. Result: test_recovery_that_a_peer_reports_keeps_the_rate_of_cold_upstreams failed before and passes; test_pace, test_exchange, test_hints and test_extraload pass.

--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -209,7 +209,7 @@
         self._call_count += 1
         if not is_reserved:
             self._rate_limits.take_permit(upstream.id, now_ms)
-        self._get_or_create_stats(upstream.id, now_ms).open_sent_ms[call_id] = now_ms
+        self._get_or_create_stats(upstream.id, now_ms).record_sent(call_id, now_ms)
         self.paces.record_sent(upstream, now_ms)
         if upstream.cold_until_ms > now_ms:
             limits = self._get_limits(upstream.service)
@@ -330,6 +330,7 @@
         self.paces.record_peer_pace(upstream, concurrency, now_ms)
         stats = self._stats.get(upstream_id)
         if stats is not None and stats.block_ms > 0 and concurrency >= INITIAL_CONCURRENCY:
+            self._mark_possibly_cold(upstream_id, now_ms)
             stats.record_recovery()
 
     def remove_upstream(self, upstream_id: str) -> None:
--- a/citronpaddle/policy/upstreamstats.py
+++ b/citronpaddle/policy/upstreamstats.py
@@ -92,6 +92,12 @@
         self.failure_rate *= factor
         self.updated_ms = now_ms
 
+    def record_sent(self, call_id: int, now_ms: float) -> None:
+        """Record an open call; if one that shows a recovery is due, this is the one."""
+        self.open_sent_ms[call_id] = now_ms
+        if now_ms >= self.probe_ms:
+            self.probe_ms = inf
+
     def record_reply(self, slowness: float, now_ms: float) -> bool:
         """Record a reply; return whether the upstream has recovered from being unreachable."""
         self.decay(now_ms)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -77,6 +77,25 @@
     assert not selector.choose("s0", 10.0, 60.0).is_within_pace
 
 
+def test_recovery_that_a_peer_reports_keeps_the_rate_of_cold_upstreams():
+    """Guards against calls above that rate to an upstream whose restart only a peer has noticed."""
+    registry = Registry()
+    (upstream,) = make_pool(0.0)
+    registry.put(upstream)
+    limits = LIMITS._replace(cold_rate_per_s=1.0)
+    slow_start = SlowStart(ColdLimits(1.5, 5.0), "i0")
+    selector = Selector(registry, slow_start, lambda name: limits, lambda: 0.5)
+    selector.record_sent(upstream, 1, 0.0)
+    selector.record_failure("u0", 1, 0.0, True)
+    later_ms = 2 * limits.cold_ms
+    selector.record_peer_pace("u0", 1.0, later_ms)
+    for call_id in (2, 3):
+        selector.record_sent(selector.choose("s0", later_ms, 60.0).upstream, call_id, later_ms)
+        selector.record_reply("u0", call_id, "r", later_ms)
+        assert selector.choose("s0", later_ms + 1.0, 60.0) is None
+        later_ms += 1_000.0
+
+
 def test_hint_of_a_peer_ends_the_avoidance_of_an_upstream():
     """Guards against an instance that avoids an upstream which answers others; bad values too."""
     registry = Registry()
