--- a/citronpaddle/explanation.py
+++ b/citronpaddle/explanation.py
@@ -112,6 +112,10 @@
             yield f"part {service} is missing: {fault}, called {called}"
         if line.get("reason") in ("no_upstream", "too_few_shards"):
             yield "no upstream was listed for the request, or for too many of its shards"
+        if line.get("reason") == "no_key":
+            yield "the request had no usable key, and its route is not public"
+        if line.get("reason") == "unknown_key":
+            yield f"no team holds the key in version {line.get('version')} of the configuration"
         if line.get("reason") == "limited":
             yield "all upstreams of the service name a rate limit, which was used up"
         if line.get("reason") == "over_quota":
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -8,6 +8,7 @@
 import pytest
 from gatewayworld import SINGLE_ROUTE, list_executed, run_scenario
 
+from citronpaddle.explanation import explain
 from citronpaddle.platform import documents
 
 PUBLIC_ROUTE = {"prefix": "/open/", "service": "s0", "public": True}
@@ -67,6 +68,9 @@
         (line,) = setup.list_logged("request_denied")
         assert line["reason"] in ("no_key", "unknown_key")
         assert "key-" not in json.dumps(line)
+        assert b"key-" not in setup.gateway.render_metrics()
+        (finding,) = explain(line["id"], [line]).findings
+        assert "key" in finding
 
     _run(scenario)
 
