Order the requests that wait for room at a service

Cause: parts that found no upstream with room asked again every 5 ms, and the first to ask got it, whatever its priority or team; all waited until their deadline. A query was continued though it had lost too many shards. Calls that full upstreams rejected were sent again.

Change: one queue per service for the first calls of all parts (policy/sharing): by priority, a team's before its route's; teams share by quota; a priority or team served below 0.35 of the mean goes first. What comes too late is refused at once, with the time by which the queue must shrink. The end of a call wakes the next part. Two rejections of one part in a row limit the open calls to the service. A congested service gets no hedges. A query that can no longer reach its minimum is given up and its calls are cancelled; it is refused before any call if too many shards have no room.

--- a/citronpaddle/adapters/counts.py
+++ b/citronpaddle/adapters/counts.py
@@ -5,6 +5,7 @@
 """
 
 from bisect import bisect_left
+from collections.abc import Mapping
 
 # Covers the range from the shortest latency objectives, about 100 ms, to the longest timeouts.
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0, 15.0)
@@ -37,9 +38,15 @@
 
 
 def render(
-    counts: Counts, gauges: dict[str, float], refused_by_team: dict[str, int] | None = None
+    counts: Counts,
+    gauges: dict[str, float],
+    refused_by_team: dict[str, int] | None = None,
+    waiting_by_priority: Mapping[int, int] | None = None,
 ) -> bytes:
-    """Return the counters, the latencies and the gauges in the Prometheus text format."""
+    """Return the counters, the latencies and the gauges in the Prometheus text format.
+
+    `waiting_by_priority` has the number of parts of requests that wait for room.
+    """
     from prometheus_client import CollectorRegistry, generate_latest
     from prometheus_client.core import (
         CounterMetricFamily,
@@ -58,6 +65,11 @@
     )
     for team, count in (refused_by_team or {}).items():
         refused.add_metric([team], count)
+    waiting = GaugeMetricFamily(
+        "citronpaddle_waiting_parts", "parts that wait for room", labels=["priority"]
+    )
+    for priority, count in sorted((waiting_by_priority or {}).items()):
+        waiting.add_metric([str(priority)], count)
     counters: dict[str, CounterMetricFamily] = {}
     for (name, label), value in counts.values.items():
         if name not in counters:
@@ -75,7 +87,7 @@
             list(key), list(zip(bounds, cumulative, strict=True)), counts.sums_ms[key] / 1_000
         )
     registry = CollectorRegistry()
-    registry.register(_Collector([*families, refused, *counters.values(), latency]))
+    registry.register(_Collector([*families, refused, waiting, *counters.values(), latency]))
     return generate_latest(registry)
 
 
--- a/citronpaddle/explanation.py
+++ b/citronpaddle/explanation.py
@@ -36,6 +36,14 @@
     "error": "the upstream ran the request and failed",
 }
 
+REFUSALS = {
+    "no_upstream": "no upstream was listed for the request, or for too many of its shards",
+    "too_few_shards": "no upstream was listed for the request, or for too many of its shards",
+    "no_key": "the request had no usable key, and its route is not public",
+    "unknown_key": "no team holds the key in this version of the configuration",
+    "limited": "all upstreams of the service name a rate limit, which was used up",
+}
+
 
 class RequestReport(NamedTuple):
     """The log lines about a request in order, state changes just before it, and the findings."""
@@ -110,22 +118,32 @@
         for service, tried, fault in line.get("missing_parts", ()):
             called = ", ".join(tried) or "no upstream"
             yield f"part {service} is missing: {fault}, called {called}"
-        if line.get("reason") in ("no_upstream", "too_few_shards"):
-            yield "no upstream was listed for the request, or for too many of its shards"
-        if line.get("reason") == "no_key":
-            yield "the request had no usable key, and its route is not public"
-        if line.get("reason") == "unknown_key":
-            yield f"no team holds the key in version {line.get('version')} of the configuration"
-        if line.get("reason") == "limited":
-            yield "all upstreams of the service name a rate limit, which was used up"
+        if line.get("reason") in REFUSALS:
+            yield REFUSALS[line["reason"]]
         if line.get("reason") == "over_quota":
             yield f"team {line.get('team')} had used up its quota over all instances"
+        if "shortage" in line:
+            yield _describe_shortage(line["shortage"])
         if line.get("state_age_ms", 0) > STALE_STATE_MS:
             yield f"the store did not answer for {line['state_age_ms']} ms: the state was stale"
     if any(line["event"] == "store_lost" for line in state):
         yield "the store was lost just before: the list of upstreams may have been stale"
 
 
+def _describe_shortage(shortage: dict[str, Any]) -> str:
+    """Return why a request was given up for lack of room."""
+    cause = (
+        f"its upstreams rejected calls, which limited it to {shortage['limit']} at a time"
+        if shortage["limit"]
+        else "its upstreams had no room"
+    )
+    return (
+        f"service {shortage['service']} was full: {cause}; {shortage['ahead']} parts were before"
+        f" this one, which would have started in {shortage['wait_ms']} ms and had"
+        f" {shortage['left_ms']} ms to do so"
+    )
+
+
 def format_report(report: RequestReport) -> str:
     """Return the report as human-readable text."""
     rows = [f"request {report.request_id}"]
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -12,6 +12,7 @@
 from .policy.calls import (
     FIRST_CALL,
     Action,
+    Answered,
     Call,
     CallFailure,
     Cancel,
@@ -22,6 +23,7 @@
     UnknownLimit,
 )
 from .policy.catalog import Route, Team
+from .policy.demand import Demand
 from .policy.exchange import Exchange, ExchangeDependencies
 from .policy.registry import Upstream
 
@@ -66,7 +68,8 @@
 
     `end_ms` is when the answer is due, on the monotonic clock. `outside_ms` is the part of the
     objective that passes before the request arrives and while its answer travels. `team` is the
-    caller's team where callers are identified by keys.
+    caller's team where callers are identified by keys. `demand` orders it among others that wait
+    for room.
     """
 
     id: str
@@ -78,6 +81,7 @@
     is_head: bool = False
     outside_ms: float = 0.0
     team: Team | None = None
+    demand: Demand | None = None
 
 
 class CallObserver(ABC):
@@ -110,13 +114,15 @@
             request.end_ms,
             forwarder.dependencies,
             request.outside_ms,
+            request.demand,
+            self._schedule_timer,
         )
         self.reasons: Counter[str] = Counter()
         self._forwarder = forwarder
         self._clock = forwarder.clock
         self._deliver: Callable[[Outcome], None] | None = deliver
         self._dispatches: dict[int, Dispatch] = {}
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
 
     def start(self) -> None:
         """Send the first calls."""
@@ -223,6 +229,14 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(max(0.0, delay_ms) / 1_000, self._handle_timer)
 
+    def _schedule_timer(self) -> None:
+        """Handle the timer as soon as the event loop is free."""
+        if self._deliver is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_soon(self._handle_timer)
+
     def _handle_timer(self) -> None:
         self._timer = None
         self._apply(self.exchange.handle_timer(self._clock.now_ms()))
@@ -237,7 +251,14 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._dispatches:
+        if (
+            self._dispatches
+            and self.request.route.shards
+            and not isinstance(self.exchange.outcome, Answered)
+        ):
+            # The replies that are still due can't make an answer any more.
+            self._cancel_calls()
+        elif self._dispatches:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(SUPERSEDED_CALL_TIMEOUT_MS / 1_000, self._cancel_calls)
         else:
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -33,6 +33,7 @@
     WeightedRotation,
     WeightedService,
 )
+from .policy.demand import make_demand
 from .policy.exchange import ExchangeDependencies
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
 from .policy.feed import Feed
@@ -42,6 +43,7 @@
 from .policy.receiving import derive_limits
 from .policy.registry import Registry
 from .policy.selection import Selector
+from .policy.sharing import Sharing
 from .policy.slowstart import ColdLimits, SlowStart
 from .policy.stopping import schedule_stop
 from .randomness import RandomSource
@@ -165,6 +167,7 @@
             random.random,
             settings.domain,
         )
+        self._sharing = Sharing()
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
         self._quotas = TeamQuotas(
             clock, log, settings.quota, settings.name, f"{random.random():.12f}"
@@ -188,6 +191,7 @@
             RouteLatencies(),
             itertools.count(1),
             self._peering.hints,
+            self._sharing,
         )
         self._forwarder = Forwarder(
             clock, call_codec, self._pool, dependencies, CallLog(clock, log, self.counts)
@@ -373,6 +377,7 @@
             caller_request.is_head,
             outside_ms,
             team,
+            make_demand(route, team, catalog),
         )
         version = catalog.version
         admitted_ms = self._clock.now_ms()
@@ -416,7 +421,9 @@
             "caller_connections": len(self._intake),
             "caller_held_bytes": self._intake.held_bytes,
         }
-        return render(self.counts, gauges, self._quotas.count_refused())
+        return render(
+            self.counts, gauges, self._quotas.count_refused(), self._sharing.count_waiting()
+        )
 
     def log_error(self, error: BaseException) -> None:
         """Log an unexpected error; the instance continues to serve."""
--- a/citronpaddle/policy/catalog.py
+++ b/citronpaddle/policy/catalog.py
@@ -96,6 +96,9 @@
         self.limits = limits
         self.services = {service.name: service for service in services}
         self._teams_by_key = teams_by_key
+        quotas = [team.rate_per_s for team in self.teams if team.has_quota]
+        # The mean rate of the quotas; any value if there are none, since all teams weigh the same.
+        self.mean_quota_per_s = sum(quotas) / len(quotas) if quotas else 1.0
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -25,11 +26,13 @@
     Send,
 )
 from .catalog import Route
+from .demand import Demand
 from .extraload import ExtraLoad
 from .hints import Hints
 from .latencies import RouteLatencies
 from .registry import Upstream
 from .selection import Choice, Reservation, Selector
+from .sharing import Sharing, Shortage, Ticket
 
 # Maximum calls per part, including rejected ones; more would add load to a failing upstream.
 MAX_CALLS = 5
@@ -53,6 +56,9 @@
 CONNECT_TIMEOUT_MS = 60.0
 # Interval at which a part that waits for upstream capacity checks again.
 CAPACITY_RECHECK_MS = 5.0
+# Rejections of one part in a row, from different upstreams if there are several, that show that
+# the service lacks capacity rather than one of its upstreams.
+REJECTIONS_OF_FULL_SERVICE = 2
 # Retry delay sent to the caller when too few upstreams are listed, and for all other refusals.
 RETRY_UNLISTED_MS = 400.0
 RETRY_REJECTED_MS = 100.0
@@ -78,6 +84,9 @@
     resume_ms: float = 0.0
     # The permit for which the part waits until `resume_ms`.
     reservation: Reservation | None = None
+    # The place of its first call in the queue of the service, while it waits for room.
+    ticket: Ticket | None = None
+    rejections: int = 0
     # Number of ended calls that an upstream may have run.
     possibly_run_calls: int = 0
     is_done: bool = False
@@ -92,13 +101,17 @@
 
 
 class ExchangeDependencies(NamedTuple):
-    """Objects shared by all exchanges; `hints` reports late calls to other instances."""
+    """Objects shared by all exchanges; `hints` reports late calls to other instances.
+
+    `sharing` orders the parts that wait for room at a service.
+    """
 
     selector: Selector
     extra_load: ExtraLoad
     latencies: RouteLatencies
     call_ids: itertools.count
     hints: Hints
+    sharing: Sharing
 
 
 class Exchange:
@@ -112,12 +125,20 @@
         deadline_ms: float,
         dependencies: ExchangeDependencies,
         outside_ms: float = 0.0,
+        demand: Demand | None = None,
+        on_resume: Callable[[], None] = lambda: None,
     ) -> None:
         """Create one part per service; `deadline_ms` is the caller's deadline, a point in time.
 
-        `outside_ms` is the part of the objective that passes outside this instance.
+        `outside_ms` is the part of the objective that passes outside this instance. `demand` orders
+        the request among others that wait for room, by default by the priority of its route.
+        `on_resume` is called when the timer has become due early.
         """
         self.route = route
+        # The first shortage for which a part was given up.
+        self.shortage: Shortage | None = None
+        self._demand = demand or Demand(route.priority)
+        self._on_resume = on_resume
         self.received_ms = received_ms
         self.deadline_ms = min(deadline_ms, received_ms + route.timeout_ms) - TIMEOUT_MARGIN_MS
         self.outcome: Outcome | None = None
@@ -179,7 +200,7 @@
             self._dependencies.extra_load.record_request(self._parts[index].service, now_ms)
             self._start_call(index, now_ms, FIRST_CALL, actions)
         self._update_outcome(now_ms)
-        return actions
+        return self._drop_unneeded_sends(actions, now_ms)
 
     def record_sent(self, call: Call) -> None:
         """Record that bytes of this call may have been sent."""
@@ -187,7 +208,7 @@
 
     def handle_reply(self, call: Call, reply: Reply, now_ms: float) -> None:
         """Handle a successful reply; it never starts another call."""
-        self._remove_call(call)
+        self._remove_call(call, now_ms)
         latency_ms = now_ms - call.started_ms
         slowness = self._dependencies.selector.record_reply(
             call.upstream.id, call.id, self.route.name, now_ms
@@ -195,6 +216,7 @@
         if latency_ms > self._late_threshold_ms:
             self._dependencies.hints.record_answered(call.upstream.id, slowness)
         self._dependencies.latencies.add(self.route, now_ms, latency_ms)
+        self._dependencies.sharing.record_reply(call.upstream.service, latency_ms)
         part = self._parts[call.part]
         if part.reply is None and self.outcome is None:
             part.reply = reply
@@ -204,7 +226,7 @@
 
     def handle_failure(self, call: Call, failure: CallFailure, now_ms: float) -> list[Action]:
         """Handle a failed call; its retry starts at once or after a backoff."""
-        self._remove_call(call)
+        self._remove_call(call, now_ms)
         kind = failure.kind
         self._dependencies.selector.record_failure(
             call.upstream.id,
@@ -216,6 +238,7 @@
             self._dependencies.selector.record_misdirected(call.upstream, now_ms)
         part = self._parts[call.part]
         part.last_failure = kind.value
+        self._record_rejections(part, kind, now_ms)
         if not call.is_sent or kind is FailureKind.MISDIRECTED:
             part.used_upstreams.discard(call.upstream.id)
         actions: list[Action] = []
@@ -230,6 +253,14 @@
         self._update_outcome(now_ms)
         return self._drop_unneeded_sends(actions, now_ms)
 
+    def _record_rejections(self, part: _Part, kind: FailureKind, now_ms: float) -> None:
+        part.rejections = part.rejections + 1 if kind is FailureKind.REJECTED else 0
+        if part.rejections < REJECTIONS_OF_FULL_SERVICE:
+            return
+        # The permits of rate-limited upstreams already say when they have room.
+        if not self._dependencies.selector.list_limited_ids(part.service):
+            self._dependencies.sharing.record_rejection(part.service, now_ms)
+
     def handle_timer(self, now_ms: float) -> list[Action]:
         """Replace or hedge late calls, resume waiting parts, and decide the outcome when due."""
         actions: list[Action] = []
@@ -268,7 +299,7 @@
             if part.is_done:
                 continue
             if not part.open_calls:
-                due_ms = min(due_ms, max(part.resume_ms, now_ms + CAPACITY_RECHECK_MS))
+                due_ms = min(due_ms, max(part.resume_ms, now_ms))
             elif (part_due_ms := self._find_due_time(part)) is not None:
                 due_ms = min(due_ms, max(part_due_ms, now_ms + MIN_TIMER_DELAY_MS))
         return due_ms
@@ -290,9 +321,12 @@
         return self._cancel(self.open_calls, now_ms)
 
     def _cancel(self, calls: list[Call], now_ms: float) -> list[Action]:
+        """Cancel calls after the end of the request, which then waits for no room either."""
+        for part in self._parts:
+            self._leave_queue(part)
         actions: list[Action] = []
         for call in calls:
-            self._remove_call(call)
+            self._remove_call(call, now_ms)
             self._parts[call.part].possibly_run_calls += call.is_sent
             self._dependencies.selector.record_cancelled(
                 call.upstream.id, call.id, now_ms, CANCELLED_LATE_FACTOR * self._late_threshold_ms
@@ -327,7 +361,7 @@
     def _replace_unsent(self, call: Call, now_ms: float, actions: list[Action]) -> None:
         """Replace an unsent call by one to another upstream."""
         part = self._parts[call.part]
-        self._remove_call(call)
+        self._remove_call(call, now_ms)
         self._dependencies.selector.record_failure(call.upstream.id, call.id, now_ms, True)
         actions.append(Cancel(call))
         part.used_upstreams.discard(call.upstream.id)
@@ -347,6 +381,8 @@
         if len(part.used_upstreams) >= self.route.max_upstreams:
             return
         selector = self._dependencies.selector
+        if self._dependencies.sharing.is_congested(part.service, now_ms):
+            return
         # A rate-limited upstream has no room for calls that only reduce latency.
         avoid = [*part.tried, *selector.list_limited_ids(part.service)]
         choice = selector.choose(part.service, now_ms, self._late_threshold_ms, avoid)
@@ -358,6 +394,8 @@
     def _start_call(self, index: int, now_ms: float, reason: str, actions: list[Action]) -> None:
         """Call an upstream for this part; the part waits if none has capacity."""
         part = self._parts[index]
+        if not self._has_turn(part, now_ms):
+            return
         reservation, part.reservation = part.reservation, None
         if reservation is not None and self._dependencies.selector.may_use(reservation, now_ms):
             choice = Choice(reservation.upstream, True)
@@ -414,8 +452,60 @@
             self._retry_ms = max(self._retry_ms, min(wait_ms, MAX_RETRY_LIMITED_MS))
             return False
         part.resume_ms = now_ms + CAPACITY_RECHECK_MS
+        if part.calls == 0:
+            self._join_queue(part, now_ms)
         return True
 
+    def _has_turn(self, part: _Part, now_ms: float) -> bool:
+        """Return whether a part may be called; a first call waits for its turn at the service.
+
+        Repeated calls have their own budget and delays; a permit is a turn.
+        """
+        sharing = self._dependencies.sharing
+        if part.calls > 0 or part.reservation is not None:
+            return True
+        if part.ticket is None and not sharing.is_congested(part.service, now_ms):
+            return True
+        if not self._join_queue(part, now_ms):
+            return False
+        if sharing.is_turn(part.ticket, now_ms):
+            return True
+        part.resume_ms = part.ticket.end_ms
+        return False
+
+    def _join_queue(self, part: _Part, now_ms: float) -> bool:
+        """Queue a part, unless it waits already; return whether its answer may come in time.
+
+        Otherwise the part is finished.
+        """
+        if part.ticket is None:
+            part.ticket = self._dependencies.sharing.join(
+                part.service,
+                self._demand,
+                self.soft_deadline_ms,
+                self.deadline_ms,
+                lambda: self._resume(part),
+                now_ms,
+            )
+        ticket = part.ticket
+        if ticket.shortage is None and now_ms < ticket.end_ms:
+            return True
+        part.last_failure = part.last_failure or "no_room"
+        self._retry_ms = max(self._retry_ms, ticket.retry_ms)
+        self.shortage = self.shortage or ticket.shortage
+        self._finish_part(part)
+        return False
+
+    def _resume(self, part: _Part) -> None:
+        """Make the timer due: the part may be called, or has no more chance to be."""
+        part.resume_ms = 0.0
+        self._on_resume()
+
+    def _leave_queue(self, part: _Part) -> None:
+        ticket, part.ticket = part.ticket, None
+        if ticket is not None:
+            self._dependencies.sharing.leave(ticket)
+
     def _find_latest_start_ms(self, part: _Part, now_ms: float) -> float:
         """Return until when a first call is useful: its reply should be in time for the objective.
 
@@ -445,6 +535,11 @@
         is_reserved: bool = False,
     ) -> None:
         part = self._parts[index]
+        sharing = self._dependencies.sharing
+        if part.ticket is not None:
+            sharing.start(part.ticket, now_ms)
+            part.ticket = None
+        sharing.record_call(part.service)
         call = Call(next(self._dependencies.call_ids), index, upstream, now_ms, reason)
         part.calls += 1
         part.open_calls[call.id] = call
@@ -474,11 +569,13 @@
         reason = "reconnect" if kind is FailureKind.UNREACHABLE else "retry"
         self._start_call(call.part, now_ms, reason, actions)
 
-    def _remove_call(self, call: Call) -> None:
+    def _remove_call(self, call: Call, now_ms: float) -> None:
+        self._dependencies.sharing.record_call_end(self._parts[call.part].service, now_ms)
         self._calls.pop(call.id, None)
         self._parts[call.part].open_calls.pop(call.id, None)
 
     def _finish_part(self, part: _Part) -> None:
+        self._leave_queue(part)
         if not part.is_done:
             part.is_done = True
             self._pending_count -= 1
@@ -490,6 +587,12 @@
             count >= 1 and count >= self.route.min_coverage * len(self._parts) - COVERAGE_TOLERANCE
         )
 
+    def _can_reach_min_coverage(self) -> bool:
+        """Return whether enough parts have a reply or may still get one."""
+        if not self._is_sharded:
+            return True
+        return self._meets_min_coverage(self._answered_count + self._pending_count)
+
     def _update_outcome(self, now_ms: float) -> None:
         if self.outcome is not None:
             return
@@ -497,6 +600,8 @@
             self.outcome = self._build_outcome(False)
         elif now_ms >= self.deadline_ms:
             self.outcome = self._build_outcome(True)
+        elif not self._can_reach_min_coverage():
+            self.outcome = self._build_outcome(False)
         elif self._is_sharded and self._pending_count < len(self._parts):
             is_due = now_ms >= self.soft_deadline_ms
             if not is_due:
--- /dev/null
+++ b/citronpaddle/policy/sharing.py
@@ -0,0 +1,353 @@
+"""Orders the parts of requests that wait for room at a service, and refuses hopeless ones.
+
+A service is congested while a part waits for room at its upstreams, or while its upstreams reject
+calls for lack of capacity. First calls to it then start in order of priority; teams of equal
+priority share the starts in proportion to their weights (start-time fair queueing). A kind of
+request or a team that is refused much more often than the others goes first, so that none starves.
+A part whose answer would come after the deadline is refused at once; while a service has been
+congested for longer than a short burst, also one whose answer would miss the objective: a late
+answer would only make the next ones late as well.
+
+The load it answers: more requests than the service can run, be it a burst of all callers, one
+team's or slow upstreams. Without congestion every first call starts at once, as if there were no
+queue. Times are in ms on one monotonic clock.
+"""
+
+import bisect
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from .calllimit import CallLimit
+from .demand import Demand
+from .servedcounts import ServedCounts
+
+# Parts that have waited in a row for longer than this are no short burst.
+_SHORT_BURST_MS = 1_000.0
+# Weight of a new observation in the moving average of answer times.
+_ANSWER_WEIGHT = 0.2
+# Factor by which earlier starts count less with each further one: parts often start in groups, when
+# several calls end together.
+_START_DECAY = 0.95
+# Bounds of the retry delay that is sent to a refused caller.
+_MIN_RETRY_MS = 100.0
+_MAX_RETRY_MS = 2_000.0
+# Rank of a part of a priority or team that has been refused much more often than the others.
+_OWED_RANK = 0
+_USUAL_RANK = 1
+
+# A priority and a team.
+_Group = tuple[int, str]
+
+
+class Shortage(NamedTuple):
+    """Why a part was refused: it would have started in `wait_ms` and had `left_ms` to do so.
+
+    `ahead` parts were before it, one of which started every `start_interval_ms`, and an answer took
+    `answer_ms`. `limit` is the limit of open calls after rejections, or None.
+    """
+
+    service: str
+    ahead: int
+    start_interval_ms: float
+    answer_ms: float
+    wait_ms: float
+    left_ms: float
+    limit: int | None
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A part that waits for room at `service`.
+
+    Its answer is in time until `in_time_ms`, and of no use after `end_ms`. `shortage` is set when
+    it is refused; it may be retried after `retry_ms`.
+    """
+
+    service: str
+    demand: Demand
+    joined_ms: float
+    in_time_ms: float
+    end_ms: float
+    wake: Callable[[], None]
+    order: tuple[int, int, float, int] = (_USUAL_RANK, 0, 0.0, 0)
+    shortage: Shortage | None = None
+    retry_ms: float = 0.0
+
+    @property
+    def group(self) -> _Group:
+        """Return the priority and the team, whose parts start in the order of their arrival."""
+        return self.demand.priority, self.demand.team
+
+    @property
+    def virtual_start(self) -> float:
+        """Return the place of the part among those of its priority, in shares of the teams."""
+        return self.order[2]
+
+
+class _Pace:
+    """How often waiting parts start."""
+
+    __slots__ = ("_starts", "_waited_ms", "started_ms")
+
+    def __init__(self) -> None:
+        self._starts = 0.0
+        self._waited_ms = 0.0
+        self.started_ms = 0.0
+
+    @property
+    def interval_ms(self) -> float:
+        """Return the mean interval between starts, 0 before the first one."""
+        return self._waited_ms / self._starts if self._starts else 0.0
+
+    def record_start(self, joined_ms: float, now_ms: float) -> None:
+        """Record a start; only the interval during which the part has waited counts."""
+        if now_ms > joined_ms:
+            self._starts = _START_DECAY * self._starts + 1.0
+            self._waited_ms *= _START_DECAY
+            self._waited_ms += now_ms - max(self.started_ms, joined_ms)
+        self.started_ms = now_ms
+
+
+class _Service:
+    """The open calls of one service, and the parts that wait for it."""
+
+    def __init__(self) -> None:
+        self.open_calls = 0
+        self.limit = CallLimit()
+        self.waiting: list[Ticket] = []
+        self.counts: ServedCounts | None = None
+        self._answer_ms = 0.0
+        # When parts began to wait.
+        self._busy_since_ms = 0.0
+        self._pace = _Pace()
+        self._paces: dict[_Group, _Pace] = {}
+        # Virtual start time by priority, and the finish time of the last part by priority and team.
+        self._virtual_start: dict[int, float] = {}
+        self._virtual_finish: dict[_Group, float] = {}
+
+    def is_congested(self, now_ms: float) -> bool:
+        """Return whether first calls must queue."""
+        return bool(self.waiting) or self.limit.read(now_ms) is not None
+
+    def is_turn(self, ticket: Ticket, now_ms: float) -> bool:
+        """Return whether the part is the next one to start, and the limit permits it."""
+        limit = self.limit.read(now_ms)
+        is_first = bool(self.waiting) and self.waiting[0] is ticket
+        return is_first and (limit is None or self.open_calls < limit)
+
+    def add(self, ticket: Ticket, sequence: int, now_ms: float) -> None:
+        """Insert a part that has just arrived."""
+        if not self.waiting:
+            # The start of a busy period: no team is ahead of its share yet.
+            self._virtual_start.clear()
+            self._virtual_finish.clear()
+            self._paces.clear()
+            self._busy_since_ms = now_ms
+        if self.counts is None:
+            self.counts = ServedCounts()
+        demand = ticket.demand
+        self.counts.record_arrival(demand, now_ms)
+        rank = _OWED_RANK if self.counts.is_owed(demand) else _USUAL_RANK
+        start = max(
+            self._virtual_start.get(demand.priority, 0.0),
+            self._virtual_finish.get(ticket.group, 0.0),
+        )
+        self._virtual_finish[ticket.group] = start + 1.0 / demand.weight
+        ticket.order = (rank, demand.priority, start, sequence)
+        bisect.insort(self.waiting, ticket, key=lambda one: one.order)
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Remove a part; return whether it was the next one."""
+        index = bisect.bisect_left(self.waiting, ticket.order, key=lambda one: one.order)
+        if index == len(self.waiting) or self.waiting[index] is not ticket:
+            return False
+        del self.waiting[index]
+        return index == 0
+
+    def record_start(self, ticket: Ticket, now_ms: float) -> None:
+        """Record that a waiting part has started."""
+        priority = ticket.demand.priority
+        self._virtual_start[priority] = max(
+            self._virtual_start.get(priority, 0.0), ticket.virtual_start
+        )
+        self._pace.record_start(ticket.joined_ms, now_ms)
+        self._paces.setdefault(ticket.group, _Pace()).record_start(ticket.joined_ms, now_ms)
+
+    def record_answer(self, latency_ms: float) -> None:
+        """Record how long an answer took."""
+        if self._answer_ms:
+            self._answer_ms += _ANSWER_WEIGHT * (latency_ms - self._answer_ms)
+        else:
+            self._answer_ms = latency_ms
+
+    def refuse_hopeless(self, now_ms: float) -> list[Ticket]:
+        """Remove and return the parts whose answer would come too late."""
+        interval_ms = self._estimate_interval_ms(now_ms)
+        kept: list[Ticket] = []
+        refused: list[Ticket] = []
+        kept_by_team: Counter[_Group] = Counter()
+        last_kept: dict[_Group, Ticket] = {}
+        for ticket in self.waiting:
+            group = ticket.group
+            # Others may still come before a team that is ahead of its share: its own pace counts.
+            pace = self._paces.get(group)
+            own_wait_ms = kept_by_team[group] * pace.interval_ms if pace else 0.0
+            wait_ms = max(len(kept) * interval_ms, own_wait_ms)
+            left_ms = self._find_end_ms(ticket, now_ms) - now_ms - self._answer_ms
+            # Without an open call the answer time may be outdated; the next part measures it.
+            is_probe = not kept and self.open_calls == 0 and now_ms < ticket.end_ms
+            if wait_ms <= left_ms or is_probe:
+                kept.append(ticket)
+                kept_by_team[group] += 1
+                last_kept[group] = ticket
+                continue
+            ticket.shortage = Shortage(
+                ticket.service,
+                len(kept),
+                round(interval_ms, 1),
+                round(self._answer_ms, 1),
+                round(wait_ms, 1),
+                round(left_ms, 1),
+                self.limit.read(now_ms),
+            )
+            ticket.retry_ms = min(_MAX_RETRY_MS, max(_MIN_RETRY_MS, wait_ms - left_ms))
+            refused.append(ticket)
+        if refused:
+            self.waiting = kept
+            self._record_refusals(refused, last_kept)
+        return refused
+
+    def _estimate_interval_ms(self, now_ms: float) -> float:
+        """Return the interval between starts, or for how long none has started against it."""
+        # Calls that are open end within an answer time, and then parts start.
+        stalled_ms = now_ms - max(self._pace.started_ms, self._busy_since_ms) - self._answer_ms
+        return max(self._pace.interval_ms, stalled_ms)
+
+    def _find_end_ms(self, ticket: Ticket, now_ms: float) -> float:
+        """Return until when an answer is worth its room."""
+        is_short_burst = now_ms - self._busy_since_ms <= _SHORT_BURST_MS
+        return ticket.end_ms if is_short_burst else ticket.in_time_ms
+
+    def _record_refusals(self, refused: list[Ticket], last_kept: dict[_Group, Ticket]) -> None:
+        """Count refused parts, which take nothing of their teams' shares.
+
+        `last_kept` has the last waiting part by priority and team; later ones follow it.
+        """
+        for ticket in reversed(refused):
+            demand = ticket.demand
+            self.counts.record_refusal(demand)
+            kept = last_kept.get(ticket.group)
+            start = ticket.virtual_start
+            if kept is not None:
+                start = max(start, kept.virtual_start + 1.0 / demand.weight)
+            self._virtual_finish[ticket.group] = start
+
+
+class Sharing:
+    """The queues of all services at this instance."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, _Service] = {}
+        self._sequence = itertools.count()
+
+    def is_congested(self, service: str, now_ms: float) -> bool:
+        """Return whether first calls to `service` must queue."""
+        state = self._services.get(service)
+        return state is not None and state.is_congested(now_ms)
+
+    def join(
+        self,
+        service: str,
+        demand: Demand,
+        in_time_ms: float,
+        end_ms: float,
+        wake: Callable[[], None],
+        now_ms: float,
+    ) -> Ticket:
+        """Queue a part that has just arrived, and refuse those that now start too late.
+
+        Its answer is in time until `in_time_ms` and of no use after `end_ms`. `wake` is called when
+        the part may be next, or is refused; it must not change the queue.
+        """
+        state = self._get_or_create(service)
+        ticket = Ticket(service, demand, now_ms, min(in_time_ms, end_ms), end_ms, wake)
+        state.add(ticket, next(self._sequence), now_ms)
+        self._refuse_hopeless(state, now_ms)
+        return ticket
+
+    def is_turn(self, ticket: Ticket, now_ms: float) -> bool:
+        """Return whether a waiting part may start now, if an upstream has room."""
+        state = self._services.get(ticket.service)
+        return state is not None and state.is_turn(ticket, now_ms)
+
+    def start(self, ticket: Ticket, now_ms: float) -> None:
+        """Remove a part that starts, and wake the next one."""
+        state = self._services[ticket.service]
+        state.remove(ticket)
+        state.record_start(ticket, now_ms)
+        self._refuse_hopeless(state, now_ms)
+        _wake_next(state)
+
+    def leave(self, ticket: Ticket) -> None:
+        """Remove a part that no longer waits: its request has ended, or it was refused."""
+        state = self._services.get(ticket.service)
+        if state is None:
+            return
+        if state.remove(ticket):
+            _wake_next(state)
+        if not state.waiting and state.open_calls <= 0:
+            del self._services[ticket.service]
+
+    def record_call(self, service: str) -> None:
+        """Record that a call to `service` has started."""
+        self._get_or_create(service).open_calls += 1
+
+    def record_call_end(self, service: str, now_ms: float) -> None:
+        """Record that a call has ended, and wake the next part."""
+        state = self._services.get(service)
+        if state is None:
+            return
+        state.open_calls -= 1
+        if state.waiting:
+            _wake_next(state)
+        elif state.open_calls <= 0 and state.limit.read(now_ms) is None:
+            del self._services[service]
+
+    def record_reply(self, service: str, latency_ms: float) -> None:
+        """Record a reply and how long it took."""
+        state = self._services.get(service)
+        if state is not None:
+            state.record_answer(latency_ms)
+            state.limit.record_reply()
+
+    def record_rejection(self, service: str, now_ms: float) -> None:
+        """Record that several upstreams of `service` have rejected a part in a row."""
+        state = self._get_or_create(service)
+        state.limit.record_rejection(state.open_calls, now_ms)
+
+    def count_waiting(self) -> Counter[int]:
+        """Return the number of parts that wait for room, by priority."""
+        return Counter(
+            ticket.demand.priority for state in self._services.values() for ticket in state.waiting
+        )
+
+    def _get_or_create(self, service: str) -> _Service:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _Service()
+        return state
+
+    def _refuse_hopeless(self, state: _Service, now_ms: float) -> None:
+        refused = state.refuse_hopeless(now_ms)
+        for ticket in refused:
+            ticket.wake()
+        if refused:
+            _wake_next(state)
+
+
+def _wake_next(state: _Service) -> None:
+    if state.waiting:
+        state.waiting[0].wake()
--- a/citronpaddle/requestlog.py
+++ b/citronpaddle/requestlog.py
@@ -1,5 +1,7 @@
 """Logs and counts how callers' requests end."""
 
+from typing import Any
+
 from .adapters.counts import Counts
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
@@ -42,7 +44,7 @@
     ) -> None:
         """Record the outcome of a request that was handled by a version of the configuration."""
         took_ms = self._clock.now_ms() - request.received_ms
-        fields = {}
+        fields: dict[str, Any] = {}
         if isinstance(outcome, Answered):
             label = "partial" if outcome.missing else "answered"
             fields["missing"] = outcome.missing
@@ -51,6 +53,9 @@
         else:
             label = type(outcome).__name__.lower()
             fields["reason"] = outcome.reason
+            self._record_shortage(request, runner, fields)
+        if request.team:
+            fields["team"] = request.team.name
         self._counts.add("requests", label)
         self._counts.observe(request.route.name, label, took_ms)
         self._log.write(
@@ -67,6 +72,16 @@
             **fields,
         )
 
+    def _record_shortage(
+        self, request: RoutedRequest, runner: ExchangeRunner | None, fields: dict[str, Any]
+    ) -> None:
+        """Count a request that was given up for lack of room, and log what decided it."""
+        if runner is None or runner.exchange.shortage is None:
+            return
+        self._counts.add("requests_without_room", request.team.name if request.team else "")
+        fields["priority"] = request.demand.priority if request.demand else request.route.priority
+        fields["shortage"] = runner.exchange.shortage._asdict()
+
     def record_caller_left(self, request: RoutedRequest) -> None:
         """Record that the caller closed its connection before it was answered."""
         self._counts.add("requests", "caller_left")
--- a/tests/exchanges.py
+++ b/tests/exchanges.py
@@ -1,5 +1,6 @@
 """Builders and a simulation in virtual time for tests of exchanges."""
 
+import collections
 import heapq
 import itertools
 from collections.abc import Callable
@@ -15,12 +16,14 @@
     Send,
 )
 from citronpaddle.policy.catalog import Route, ServiceLimits, WeightedService
+from citronpaddle.policy.demand import Demand
 from citronpaddle.policy.exchange import Exchange, ExchangeDependencies
 from citronpaddle.policy.extraload import ExtraLoad, ExtraLoadLimits
 from citronpaddle.policy.hints import Hints
 from citronpaddle.policy.latencies import RouteLatencies
 from citronpaddle.policy.registry import Registry, Upstream
 from citronpaddle.policy.selection import Selector
+from citronpaddle.policy.sharing import Sharing
 from citronpaddle.policy.slowstart import ColdLimits, SlowStart
 from citronpaddle.randomness import RandomSource
 
@@ -77,6 +80,22 @@
     limit_per_s: float | None = None
 
 
+class Arrival(NamedTuple):
+    """A request that arrives at a time in ms from the start of a load."""
+
+    at_ms: float
+    route: Route
+    demand: Demand | None = None
+
+
+class Ended(NamedTuple):
+    """The end of a request, and how long it took in ms."""
+
+    arrival: Arrival
+    outcome: Outcome
+    took_ms: float
+
+
 class ExchangeSimulation:
     """One instance's exchanges with simulated upstreams in virtual time.
 
@@ -92,7 +111,7 @@
         services: dict[str, ServiceLimits] | None = None,
         seed: int = 1,
     ) -> None:
-        self.now_ms = START_MS
+        self.now_ms = self.started_ms = START_MS
         self.registry = Registry()
         for upstream in upstreams:
             self.registry.put(upstream)
@@ -111,7 +130,12 @@
         self.extra_load.set_share(1.0 / instances)
         self.hints = Hints(self.selector, lambda: None)
         self.dependencies = ExchangeDependencies(
-            self.selector, self.extra_load, RouteLatencies(), itertools.count(1), self.hints
+            self.selector,
+            self.extra_load,
+            RouteLatencies(),
+            itertools.count(1),
+            self.hints,
+            Sharing(),
         )
         self.calls: list[tuple[float, Call]] = []
         self.cancelled: list[Call] = []
@@ -130,11 +154,18 @@
         self._apply(exchange, exchange.cancel(self.now_ms))
         return exchange.outcome, took_ms
 
-    def start(self, route: Route, deadline_ms: float = 1_000.0) -> Exchange:
+    def start(
+        self, route: Route, deadline_ms: float = 1_000.0, demand: Demand | None = None
+    ) -> Exchange:
         """Start a request and return its exchange."""
         services = route.shards or (route.targets[0].service,)
         exchange = Exchange(
-            route, services, self.now_ms, self.now_ms + deadline_ms, self.dependencies
+            route,
+            services,
+            self.now_ms,
+            self.now_ms + deadline_ms,
+            self.dependencies,
+            demand=demand,
         )
         self._apply(exchange, exchange.start(self.now_ms))
         return exchange
@@ -153,31 +184,39 @@
 
         Requests overlap; each has the timeout of the route as its deadline.
         """
-        arrivals = [self.now_ms + at_ms for at_ms in arrivals_ms]
-        running: dict[int, Exchange] = {}
-        ended: list[tuple[float, Outcome, float]] = []
+        ended = self.play_arrivals([Arrival(at_ms, route) for at_ms in arrivals_ms])
+        return [(self.started_ms + one.arrival.at_ms, one.outcome, one.took_ms) for one in ended]
+
+    def play_arrivals(self, planned: list["Arrival"]) -> list["Ended"]:
+        """Run requests that arrive from now on, in this order; each has its route's timeout."""
+        self.started_ms = self.now_ms
+        arrivals = collections.deque(planned)
+        running: dict[int, tuple[Arrival, Exchange]] = {}
+        ended: list[Ended] = []
         while arrivals or running:
-            next_arrival_ms = arrivals[0] if arrivals else float("inf")
+            next_arrival_ms = self.started_ms + arrivals[0].at_ms if arrivals else float("inf")
             first = min(
-                running.values(),
+                (exchange for _, exchange in running.values()),
                 key=lambda exchange: exchange.next_timer_ms(self.now_ms),
                 default=None,
             )
             due_ms = first.next_timer_ms(self.now_ms) if first else float("inf")
             event_ms = self._events[0][0] if self._events else float("inf")
             if next_arrival_ms <= min(due_ms, event_ms):
-                self.now_ms = max(self.now_ms, arrivals.pop(0))
-                exchange = self.start(route, route.timeout_ms)
-                running[id(exchange)] = exchange
+                self.now_ms = max(self.now_ms, next_arrival_ms)
+                arrival = arrivals.popleft()
+                exchange = self.start(arrival.route, arrival.route.timeout_ms, arrival.demand)
+                running[id(exchange)] = arrival, exchange
             elif first is not None:
                 self.step(first)
             else:
                 self._handle_event()
-            for exchange in [one for one in running.values() if one.outcome is not None]:
-                del running[id(exchange)]
-                self._apply(exchange, exchange.cancel(self.now_ms))
-                took_ms = self.now_ms - exchange.received_ms
-                ended.append((exchange.received_ms, exchange.outcome, took_ms))
+            for arrival, exchange in list(running.values()):
+                if exchange.outcome is not None:
+                    del running[id(exchange)]
+                    self._apply(exchange, exchange.cancel(self.now_ms))
+                    took_ms = self.now_ms - exchange.received_ms
+                    ended.append(Ended(arrival, exchange.outcome, took_ms))
         return ended
 
     def _handle_event(self) -> None:
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -342,7 +342,13 @@
         }
         self.store.write(f"servers/{upstream.id}", json.dumps(entry | changes).encode())
 
-    def configure(self, routes: list[dict[str, Any]], tenants: Any = None, **limits: Any) -> None:
+    def configure(
+        self,
+        routes: list[dict[str, Any]],
+        tenants: Any = None,
+        max_connections: int = 26,
+        **limits: Any,
+    ) -> None:
         """Write the next version of the configuration; `limits` replace fields of the limits.
 
         Without `tenants`, callers need no keys.
@@ -367,7 +373,8 @@
             "version": self.version,
             "routes": [make_route(**route) for route in routes],
             "services": [
-                {"name": name, "health_path": "/h", "max_connections": 26, "warmup_s": 3.0}
+                {"name": name, "health_path": "/h", "warmup_s": 3.0}
+                | {"max_connections": max_connections}
                 for name in sorted(services)
             ],
             "limits": base | limits,
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -143,7 +143,8 @@
     counts.add("requests", "answered")
     counts.add("call_faults", "broken", 3)
     counts.observe("r", "answered", 60.0)
-    text = render(counts, {"configuration_version": 7}).decode()
+    text = render(counts, {"configuration_version": 7}, waiting_by_priority={2: 5}).decode()
+    assert 'citronpaddle_waiting_parts{priority="2"} 5.0' in text
     assert "citronpaddle_configuration_version 7.0" in text
     assert 'citronpaddle_call_faults_total{kind="broken"} 3.0' in text
     assert (
