Serve late rather than not where answers alone take too long

Cause: on a slow service every waiting part was refused after a second of congestion, though it could have been answered before its deadline: its answer missed the objective even without a wait. At the start of a shortage no estimate of the wait was known.

Change: the objective bounds the wait only if an immediate start would meet it. Before the first start the interval is expected from the answer time and the open calls.

--- a/citronpaddle/policy/sharing.py
+++ b/citronpaddle/policy/sharing.py
@@ -224,12 +224,15 @@
         """Return the interval between starts, or for how long none has started against it."""
         # Calls that are open end within an answer time, and then parts start.
         stalled_ms = now_ms - max(self._pace.started_ms, self._busy_since_ms) - self._answer_ms
-        return max(self._pace.interval_ms, stalled_ms)
+        expected_ms = self._answer_ms / max(1, self.open_calls)
+        return max(self._pace.interval_ms or expected_ms, stalled_ms)
 
     def _find_end_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return until when an answer is worth its room."""
         is_short_burst = now_ms - self._busy_since_ms <= _SHORT_BURST_MS
-        return ticket.end_ms if is_short_burst else ticket.in_time_ms
+        # Where answers alone take longer than the objective, none is in time; a late one is better.
+        is_always_late = ticket.joined_ms + self._answer_ms > ticket.in_time_ms
+        return ticket.end_ms if is_short_burst or is_always_late else ticket.in_time_ms
 
     def _record_refusals(self, refused: list[Ticket], last_kept: dict[_Group, Ticket]) -> None:
         """Count refused parts, which take nothing of their teams' shares.
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -143,6 +143,19 @@
     assert not service.simulation.cancelled and len(service.simulation.calls) == len(answered)
 
 
+def test_slow_service_serves_late_rather_than_not():
+    """Guards against refusals of requests that could only be answered late, but could be.
+
+    Load: three times what the service can run for 4 s; answers take longer than the objective.
+    """
+    service = FullService(500.0, SLOTS)
+    route = make_single_route(objective_ms=400.0, timeout_ms=3_000.0)
+    ended = service.simulation.play_arrivals(_plan(24.0, 0.0, 4_000.0, route))
+    answered = [one for one in ended if isinstance(one.outcome, Answered)]
+    # The service runs 8 requests a second, for as long as the last request has time.
+    assert len(answered) >= 0.9 * 8 * (4 + 3 - 0.5)
+
+
 def test_refused_caller_is_served_after_the_retry_time():
     """Guards against a retry time that is too short: the queue is still as long then.
 
