--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -33,6 +33,7 @@
     WeightedRotation,
     WeightedService,
 )
+from .policy.demand import make_demand
 from .policy.exchange import ExchangeDependencies
 from .policy.exposure import ExposureLimits
 from .policy.extraload import ExtraLoad, ExtraLoadLimits
@@ -43,6 +44,7 @@
 from .policy.receiving import derive_limits
 from .policy.registry import Registry
 from .policy.selection import Selector
+from .policy.sharing import Sharing
 from .policy.slowstart import ColdLimits, SlowStart
 from .policy.stopping import schedule_stop
 from .randomness import RandomSource
@@ -174,6 +176,7 @@
             settings.domain,
             self._rollouts.routing if self._rollouts else None,
         )
+        self._sharing = Sharing()
         self._extra_load = ExtraLoad(settings.extra_load, clock.now_ms())
         self._quotas = TeamQuotas(
             clock, log, settings.quota, settings.name, f"{random.random():.12f}"
@@ -197,6 +200,7 @@
             RouteLatencies(),
             itertools.count(1),
             self._peering.hints,
+            self._sharing,
         )
         self._forwarder = Forwarder(
             clock, call_codec, self._pool, dependencies, CallLog(clock, log, self.counts)
@@ -387,6 +391,7 @@
             caller_request.is_head,
             outside_ms,
             team,
+            make_demand(route, team, catalog),
         )
         version = catalog.version
         admitted_ms = self._clock.now_ms()
@@ -433,7 +438,9 @@
         if self._rollouts is not None:
             gauges["rollouts_running"] = self._rollouts.running
             gauges["rollout_target_calls"] = self._rollouts.target_calls
-        return render(self.counts, gauges, self._quotas.count_refused())
+        return render(
+            self.counts, gauges, self._quotas.count_refused(), self._sharing.count_waiting()
+        )
 
     def log_error(self, error: BaseException) -> None:
         """Log an unexpected error; the instance continues to serve."""
