--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -218,7 +218,8 @@
         state = self._describe(usage, team, now_ms)
         if state.known + state.reserved + 1.0 > self._compute_ceiling(team, state.cut_off > 0):
             release_ms = usage.find_release_ms(now_ms)
-            window_wait_ms = self._peers.timeout_ms if release_ms is None else release_ms - now_ms
+            # Without any, the room is kept for others, one of which may serve the request sooner.
+            window_wait_ms = self.report_interval_ms if release_ms is None else release_ms - now_ms
             wait_ms = max(wait_ms, window_wait_ms)
         if wait_ms > 0:
             return self._schedule_retry(usage, wait_ms, rate_per_s, now_ms)
