Judge a roll-out only after new results, and report late faults at once

Cause: the counts of all instances were merged four times a second. In a roll-out longer than the window of judgement, new bad calls could hide behind those that left the window, and were reported seconds later.

Change: an instance judges after new results of the target version, and reports by its totals.

The late report was found by reading; no test fails without the change.

--- a/citronpaddle/policy/rollout.py
+++ b/citronpaddle/policy/rollout.py
@@ -143,7 +143,12 @@
     barred_versions: set[str] = field(default_factory=set)
     tally: Tally = field(default_factory=Tally)
     peer_tallies: dict[str, Tally] = field(default_factory=dict)
+    # All results of this instance's calls to the target version, also those too old to be judged.
+    target_calls: int = 0
+    target_bad: int = 0
     _calls: int = 0
+    _finding: Finding | None = None
+    _is_judged: bool = False
 
     @property
     def is_running(self) -> bool:
@@ -203,10 +208,18 @@
         self.exposure.answered += 1
         if upstream.version == self.order.target_version:
             counts = CallCounts(target=1, target_bad=is_bad)
+            self.target_calls += 1
+            self.target_bad += is_bad
+            self._is_judged = False
         else:
             counts = CallCounts(other=1, other_bad=is_bad)
         self.tally.add(stratum, counts)
 
+    def set_peer_tallies(self, tallies: dict[str, Tally]) -> None:
+        """Set the calls of the other instances."""
+        self.peer_tallies = tallies
+        self._is_judged = False
+
     def merge_tallies(self, newest_span: int) -> Tally:
         """Return the calls of all instances, without those that are too old."""
         self.tally.remove_old_spans(newest_span)
@@ -218,10 +231,12 @@
 
     def judge(self, newest_span: int) -> Finding | None:
         """Judge the target version by the calls so far; stop calling it if it is bad."""
-        finding = find_fault(self.merge_tallies(newest_span), newest_span, RUNNING_THRESHOLDS)
-        if finding is not None:
-            self.has_fault = True
-        return finding
+        if not self._is_judged:
+            self._is_judged = True
+            tally = self.merge_tallies(newest_span)
+            self._finding = find_fault(tally, newest_span, RUNNING_THRESHOLDS)
+            self.has_fault = self.has_fault or self._finding is not None
+        return self._finding
 
     def plan_step(
         self, elapsed_ms: float, newest_span: int, capacity: Capacity, finding: Finding | None
--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -14,7 +14,7 @@
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
 from .policy.exposure import Exposure, ExposureLimits
-from .policy.judgement import CallCounts, Finding
+from .policy.judgement import Finding
 from .policy.rendezvous import rank_candidates
 from .policy.rollout import (
     Capacity,
@@ -193,12 +193,7 @@
         if run is None or run.order != shared.order:
             run = self._start_run(shared.order)
         self._apply_progress(run, shared)
-        run.rollout.peer_tallies = {
-            instance: report.tally
-            for instance, report in shared.reports.items()
-            if (report.target_version, report.duration_ms)
-            == (run.order.target_version, run.order.duration_ms)
-        }
+        run.rollout.set_peer_tallies(shared.list_tallies(run.order))
         self._has_work.set()
 
     def _start_run(self, order: RolloutOrder) -> RolloutRun:
@@ -362,11 +357,10 @@
 
     def _report_if_due(self, run: RolloutRun, now_ms: float) -> None:
         """Report this instance's counts if the target version got calls since the last report."""
-        total = run.rollout.tally.sum()
-        reported = run.reported or CallCounts()
-        if (total.target, total.target_bad) == (reported.target, reported.target_bad):
+        rollout = run.rollout
+        if rollout.target_calls == run.reported_calls:
             return
-        if total.target_bad > reported.target_bad:
+        if rollout.target_bad > run.reported_bad:
             interval_ms = MIN_BAD_REPORT_MS
         else:
             count = len(self._state.members.list_names())
@@ -374,7 +368,7 @@
         if now_ms - run.reported_ms < interval_ms:
             return
         run.reported_ms = now_ms
-        run.reported = total
+        run.reported_calls, run.reported_bad = rollout.target_calls, rollout.target_bad
         self._start_write(run.order.service, "report", self._writer.write_report(run))
 
     def _collect_versions(self, rollout: Rollout) -> None:
--- a/citronpaddle/rolloutstate.py
+++ b/citronpaddle/rolloutstate.py
@@ -92,6 +92,15 @@
             (record.target_version, record.duration_ms) == (order.target_version, order.duration_ms)
         ) and status.target_version == order.target_version
 
+    def list_tallies(self, order: RolloutOrder) -> dict[str, Tally]:
+        """Return the calls that other instances have reported for `order`, by instance."""
+        key = (order.target_version, order.duration_ms)
+        return {
+            instance: report.tally
+            for instance, report in self.reports.items()
+            if (report.target_version, report.duration_ms) == key
+        }
+
     def find_progress(self, order: RolloutOrder) -> Progress:
         """Return how far the roll-out of `order` has come."""
         if not self.is_of(order):
@@ -162,7 +171,7 @@
     """The work on one roll-out in this instance; times are monotonic, but for `started_ms`.
 
     `due_step` is what is to be written since `due_since_ms`, and not before `held_until_ms` of the
-    step. `reported` are the counts of the last report, None without one or if it failed.
+    step. `reported_calls` and `reported_bad` are those to the target version that were reported.
     """
 
     rollout: Rollout
@@ -173,7 +182,8 @@
     due_step: Step = Step.NONE
     due_since_ms: float = 0.0
     held_until_ms: dict[Step, float] = field(default_factory=dict)
-    reported: CallCounts | None = None
+    reported_calls: int = 0
+    reported_bad: int = 0
     reported_ms: float = 0.0
     withdrawn_ms: float | None = None
 
--- a/citronpaddle/rolloutwrites.py
+++ b/citronpaddle/rolloutwrites.py
@@ -92,7 +92,7 @@
         key = make_counts_key(self._name, order.service)
         result = await self._store.commit((), (StoreWrite(key, encode_report(report)),))
         if isinstance(result, StoreFailure):
-            run.reported = None
+            run.reported_calls = run.reported_bad = 0
 
     def _make_writes(self, run: RolloutRun, step: Step) -> list[StoreWrite]:
         rollout = run.rollout
