Keep quotas where instances that are not in use are cut off

Callers with old lists reach all instances; those cut off took themselves for in use and took a share. Change: a share is taken only after two seconds in which most of those in use are connected. Instances that serve get the frequent reports too, and tokens are credited only for the time that reports cover.

--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from .catalog import Team
-from .quotapeers import Admissions, QuotaPeers, QuotaReport
+from .quotapeers import START_MS, Admissions, QuotaPeers, QuotaReport
 from .slidingcount import SlidingCount
 
 MS_PER_SECOND = 1_000.0
@@ -24,8 +24,8 @@
 CUT_WINDOW_SLACK_SHARE = 0.5
 # Share of the slack that an instance admits at once after its start.
 START_SLACK_SHARE = 0.0625
-# Share of the remaining room at which admissions are reported at once, supposing that the other
-# instances in use have as many unreported ones.
+# Share of the remaining room at which admissions are reported at once, supposing that the others
+# that report have as many unreported ones.
 PROMPT_ROOM_SHARE = 1.0
 # An instance reports regularly for this long after it was in use or admitted a request, in windows.
 # The others learn meanwhile that it is not in use, so that none of them takes it for cut off.
@@ -113,7 +113,7 @@
     def refill(self, rate_per_s: float, now_ms: float) -> None:
         """Add the tokens since the last update."""
         elapsed_ms = max(0.0, now_ms - self.updated_ms)
-        self.updated_ms = now_ms
+        self.updated_ms = max(now_ms, self.updated_ms)
         self.debt = max(0.0, self.debt - rate_per_s * elapsed_ms / MS_PER_SECOND)
         if self.debt == 0.0:
             self.full_ms = now_ms
@@ -169,12 +169,16 @@
         self._started_ms = now_ms
         self._peers = QuotaPeers(name, now_ms)
         self._is_in_use = False
+        self._in_use_since_ms = now_ms
+        # Whether it is one of the instances among which a quota is shared while some are cut off.
+        self._has_share = False
         self._in_use: list[str] = []
         self._silent: set[str] = set()
         self._usage: dict[str, _TeamUsage] = {}
         self._teams: dict[str, Team] = {}
         # When this instance was last in use or admitted a request.
         self._active_ms = now_ms - REPORTED_WINDOWS * limits.window_ms
+        self._active_since_ms = now_ms
 
     def set_teams(self, teams: Mapping[str, Team]) -> None:
         """Set the teams with a quota, by name."""
@@ -182,14 +186,16 @@
 
     def set_expected(self, names: Collection[str], now_ms: float) -> None:
         """Set the instances that this instance supposes to be in use, itself or not."""
+        if not self._is_in_use:
+            self._in_use_since_ms = now_ms
         self._is_in_use = self._name in names
         if self._is_in_use:
-            self._active_ms = now_ms
+            self._record_activity(now_ms)
         self._peers.set_expected(names, now_ms)
         self._in_use = self._peers.list_in_use(now_ms)
-        intervals = TIMEOUT_INTERVALS * (1 if self._is_in_use else WIDE_REPORT_INTERVALS)
-        self._peers.timeout_ms = intervals * self.report_interval_ms
+        self._peers.timeout_ms = self._compute_timeout_ms(now_ms)
         self._peers.settling_ms = SETTLING_INTERVALS * self.report_interval_ms
+        self._has_share = self._is_in_use and (self._has_share or self._may_take_share(now_ms))
         silent = self._peers.list_silent(now_ms)
         if self._silent - silent:
             # Those that report again have missed what was reported meanwhile.
@@ -197,9 +203,37 @@
                 usage.forget_reports()
         self._silent = silent
 
-    def list_in_use(self) -> list[str]:
-        """Return the names of the other instances in use."""
-        return self._in_use
+    def _record_activity(self, now_ms: float) -> None:
+        if not self.has_regular_reports(now_ms):
+            self._active_since_ms = now_ms
+        self._active_ms = now_ms
+
+    def _compute_timeout_ms(self, now_ms: float) -> float:
+        """Return the age of reports at which their sender may be cut off.
+
+        Instances that do not report are sent wide reports only, until the others notice that they
+        do.
+        """
+        interval_ms = self.report_interval_ms
+        is_known = now_ms - self._active_since_ms >= SETTLING_INTERVALS * interval_ms
+        if self._is_in_use or (is_known and self.has_regular_reports(now_ms)):
+            return TIMEOUT_INTERVALS * interval_ms
+        return (WIDE_REPORT_INTERVALS + 1) * interval_ms
+
+    def _may_take_share(self, now_ms: float) -> bool:
+        """Return whether the others know that this instance is in use.
+
+        One that is cut off takes the others for gone and itself for in use.
+        """
+        if now_ms - self._started_ms < START_MS:
+            return True
+        if now_ms - self._in_use_since_ms < START_MS:
+            return False
+        return 2 * len(self._peers.list_cut_off(now_ms)) <= len(self._in_use)
+
+    def list_receivers(self, now_ms: float) -> list[str]:
+        """Return the names of the other instances in use, and of those that report."""
+        return [*self._in_use, *self._peers.list_others_reporting(now_ms)]
 
     @property
     def report_interval_ms(self) -> float:
@@ -212,7 +246,8 @@
             return 0.0
         usage = self._find_usage(team, now_ms)
         rate_per_s = self.limits.compute_rate_per_s(team)
-        usage.refill(rate_per_s, now_ms)
+        # Tokens of the time since the others' reports may have been used by them.
+        usage.refill(rate_per_s, self._peers.find_covered_ms(now_ms))
         missing = usage.debt + 1.0 - self.limits.compute_burst(team)
         wait_ms = max(0.0, missing) * MS_PER_SECOND / rate_per_s
         state = self._describe(usage, team, now_ms)
@@ -226,7 +261,7 @@
         usage.debt += 1.0
         usage.admitted += 1.0
         usage.change_count(self._incarnation, 1.0, self.limits.window_ms, now_ms)
-        self._active_ms = now_ms
+        self._record_activity(now_ms)
         return 0.0
 
     def _schedule_retry(
@@ -246,7 +281,7 @@
         usage = self._usage.get(team.name)
         if usage is None or not team.has_quota:
             return
-        usage.refill(self.limits.compute_rate_per_s(team), now_ms)
+        usage.refill(self.limits.compute_rate_per_s(team), self._peers.find_covered_ms(now_ms))
         if admitted_ms >= usage.full_ms:
             usage.debt = max(0.0, usage.debt - 1.0)
         usage.admitted -= 1.0
@@ -269,7 +304,7 @@
         self, team: Team, incarnation: str, change: Admissions, now_ms: float
     ) -> None:
         usage = self._find_usage(team, now_ms)
-        usage.refill(self.limits.compute_rate_per_s(team), now_ms)
+        usage.refill(self.limits.compute_rate_per_s(team), self._peers.find_covered_ms(now_ms))
         count = change.count
         window_ms = self.limits.window_ms
         if change.gap_ms > window_ms:
@@ -284,14 +319,15 @@
             debt = min(debt, max(usage.debt, self.limits.compute_burst(team)))
         usage.debt = debt
 
-    def is_report_urgent(self, team: Team) -> bool:
+    def is_report_urgent(self, team: Team, now_ms: float) -> bool:
         """Return whether others need to know the requests of the team at once."""
         usage = self._usage.get(team.name)
         if usage is None:
             return False
         reported = max(usage.reported or 0.0, usage.reported_in_use or 0.0)
         room = self.limits.compute_burst(team) - usage.debt
-        return (usage.admitted - reported) * (len(self._in_use) + 1) >= PROMPT_ROOM_SHARE * room
+        senders = len(self.list_receivers(now_ms)) + 1
+        return (usage.admitted - reported) * senders >= PROMPT_ROOM_SHARE * room
 
     def has_regular_reports(self, now_ms: float) -> bool:
         """Return whether this instance reports regularly: it is in use, or was lately."""
@@ -351,7 +387,7 @@
 
     def _compute_share(self, now_ms: float) -> float:
         """Return the share (0 to 1) of a quota for each instance that is cut off."""
-        in_use = len(self._peers.list_in_use(now_ms)) + self._is_in_use
+        in_use = len(self._peers.list_in_use(now_ms)) + self._has_share
         return 1.0 / max(1, in_use)
 
     def _compute_ceiling(self, team: Team, is_cut: bool) -> float:
--- a/citronpaddle/policy/quotapeers.py
+++ b/citronpaddle/policy/quotapeers.py
@@ -51,7 +51,7 @@
         self.is_in_use = False
         self._is_receiving = True
         self._created_ms = now_ms
-        self._reported_ms = -inf
+        self.reported_ms = -inf
         # Since when reports have been arriving in both directions.
         self._resumed_ms = now_ms
         self._first_uptime_ms = 0.0
@@ -62,7 +62,7 @@
 
     def has_reported(self, now_ms: float, timeout_ms: float) -> bool:
         """Return whether a report has arrived that was sent in the last `timeout_ms`."""
-        return now_ms - self._reported_ms < timeout_ms
+        return now_ms - self.reported_ms < timeout_ms
 
     def is_silent(self, now_ms: float, timeout_ms: float) -> bool:
         """Return whether reports do not arrive, in one direction or in both."""
@@ -75,7 +75,7 @@
 
     def is_forgotten(self, now_ms: float) -> bool:
         """Return whether the instance no longer admits requests."""
-        seen_ms = max(self._reported_ms, self._created_ms)
+        seen_ms = max(self.reported_ms, self._created_ms)
         return not self.is_expected and now_ms - seen_ms >= FORGET_MS
 
     def apply(
@@ -89,11 +89,11 @@
             self._first_uptime_ms = report.uptime_ms
             self._least_offsets_ms = (inf, inf)
         sent_ms = now_ms - self._measure_delay_ms(report.uptime_ms, now_ms)
-        gap_ms = min(sent_ms - self._reported_ms, report.uptime_ms)
+        gap_ms = min(sent_ms - self.reported_ms, report.uptime_ms)
         # Reports may overtake each other. Counts go down when requests are refused afterwards.
         if gap_ms < 0:
             return []
-        self._reported_ms = sent_ms
+        self.reported_ms = sent_ms
         self.is_in_use = report.is_in_use
         self._is_receiving = own_name not in report.missed
         if was_silent or not self._is_receiving:
@@ -173,6 +173,25 @@
         peer = self._peers[sender]
         return peer.apply(report, self._own_name, window_ms, self.timeout_ms, now_ms)
 
+    def find_covered_ms(self, now_ms: float) -> float:
+        """Return until when the requests of all instances in use that are not silent are known."""
+        return min(
+            (
+                peer.reported_ms
+                for peer in self._peers.values()
+                if peer.is_in_use and not peer.is_silent(now_ms, self.timeout_ms)
+            ),
+            default=now_ms,
+        )
+
+    def list_others_reporting(self, now_ms: float) -> list[str]:
+        """Return the names of the instances that are not in use and report nevertheless."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if not peer.is_in_use and peer.has_reported(now_ms, self.timeout_ms)
+        ]
+
     def list_cut_off(self, now_ms: float) -> list[str]:
         """Return the incarnations of the instances in use that may not receive reports."""
         return [
--- a/citronpaddle/teamquotas.py
+++ b/citronpaddle/teamquotas.py
@@ -63,7 +63,7 @@
         if wait_ms > 0:
             self._record_refusal(team, wait_ms, now_ms)
         elif team.has_quota and not self._is_prompt_scheduled:
-            if self._quotas.is_report_urgent(team):
+            if self._quotas.is_report_urgent(team, now_ms):
                 self._is_prompt_scheduled = True
                 loop = asyncio.get_running_loop()
                 loop.call_later(PROMPT_DELAY_MS / 1_000, self._send_prompt_report)
@@ -95,7 +95,7 @@
         if self._reports % WIDE_REPORT_INTERVALS == 0:
             self._send(self._quotas.make_wide_report(now_ms), self._addresses.values())
         else:
-            self._send(self._quotas.make_report(now_ms), self._list_in_use())
+            self._send(self._quotas.make_report(now_ms), self._list_receivers(now_ms))
 
     def count_refused(self) -> dict[str, int]:
         """Return how many requests of each team were refused since it went over its quota."""
@@ -104,10 +104,11 @@
 
     def _send_prompt_report(self) -> None:
         self._is_prompt_scheduled = False
-        self._send(self._quotas.make_report(self._clock.now_ms()), self._list_in_use())
+        now_ms = self._clock.now_ms()
+        self._send(self._quotas.make_report(now_ms), self._list_receivers(now_ms))
 
-    def _list_in_use(self) -> list[Address]:
-        names = self._quotas.list_in_use()
+    def _list_receivers(self, now_ms: float) -> list[Address]:
+        names = self._quotas.list_receivers(now_ms)
         return [self._addresses[name] for name in names if name in self._addresses]
 
     def _record_refusal(self, team: Team, wait_ms: float, now_ms: float) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -84,6 +84,19 @@
     assert_kept(world, served=0.85)
 
 
+@pytest.mark.known_red
+def test_instances_that_were_not_in_use_before_a_cut_keep_the_quota():
+    """Guards against many instances that are each cut off, and take themselves for in use then."""
+    world = make_world(FEW_IN_USE)
+    lone = world.names[6:31]
+    send(world, 6_000, 1.0, names=world.names)
+    send(world, 1_000, HOT, names=world.names)
+    world.is_linked = lambda sender, receiver: not {sender, receiver} & set(lone)
+    world.alone = set(lone)
+    send(world, 6_000, HOT, names=world.names)
+    assert_kept(world, served=0.85)
+
+
 def test_instances_that_receive_nothing_keep_the_quota():
     """Guards against a cut in one direction, which the others do not notice by themselves."""
     world = make_world(SMALL)
