Keep room for silent instances that are not in use

Cause: instances that are not in use and are cut off have admitted some requests that they could not report. Change: one request is kept for each of them that served the team lately.

--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -251,7 +251,7 @@
         missing = usage.debt + 1.0 - self.limits.compute_burst(team)
         wait_ms = max(0.0, missing) * MS_PER_SECOND / rate_per_s
         state = self._describe(usage, team, now_ms)
-        if state.known + state.reserved + 1.0 > self._compute_ceiling(team, state.cut_off > 0):
+        if state.known + state.reserved + 1.0 > self._compute_ceiling(team, state.reserved > 0):
             release_ms = usage.find_release_ms(now_ms)
             # Without any, the room is kept for others, one of which may serve the request sooner.
             window_wait_ms = self.report_interval_ms if release_ms is None else release_ms - now_ms
@@ -403,4 +403,7 @@
         reserved = sum(
             max(0.0, share * ceiling - usage.count(incarnation, now_ms)) for incarnation in cut_off
         )
+        # An instance that is not in use has at most about one request that it could not report.
+        lost = self._peers.list_lost(now_ms)
+        reserved += sum(usage.count(incarnation, now_ms) > 0 for incarnation in lost)
         return QuotaState(usage.count_all(now_ms), reserved, len(cut_off))
--- a/citronpaddle/policy/quotapeers.py
+++ b/citronpaddle/policy/quotapeers.py
@@ -184,6 +184,14 @@
             default=now_ms,
         )
 
+    def list_lost(self, now_ms: float) -> list[str]:
+        """Return the incarnations of the instances that are not in use and have become silent."""
+        return [
+            peer.incarnation
+            for peer in self._peers.values()
+            if peer.incarnation and not peer.is_in_use and peer.is_silent(now_ms, self.timeout_ms)
+        ]
+
     def list_others_reporting(self, now_ms: float) -> list[str]:
         """Return the names of the instances that are not in use and report nevertheless."""
         return [
