Send hot teams' counts to all instances at every report

Cause: instances that are not in use but serve callers with old lists had reports up to a second old in the first second of a hot team's load. Change: a regular report goes to all instances if a team that changed has used half of its burst.

--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -334,6 +334,15 @@
         is_recent = now_ms - self._active_ms < REPORTED_WINDOWS * self.limits.window_ms
         return bool(self._teams) and is_recent
 
+    def is_wide_report_due(self) -> bool:
+        """Return whether all instances need the next report: a team has used half of its burst."""
+        return any(
+            usage.admitted != usage.reported
+            and name in self._teams
+            and 2 * usage.debt >= self.limits.compute_burst(self._teams[name])
+            for name, usage in self._usage.items()
+        )
+
     def make_report(self, now_ms: float) -> QuotaReport:
         """Return a report for the instances in use: what changed since the last one of any kind."""
         counts: list[tuple[str, float]] = []
--- a/citronpaddle/teamquotas.py
+++ b/citronpaddle/teamquotas.py
@@ -92,7 +92,7 @@
             return
         self._reported_ms = now_ms
         self._reports += 1
-        if self._reports % WIDE_REPORT_INTERVALS == 0:
+        if self._reports % WIDE_REPORT_INTERVALS == 0 or self._quotas.is_wide_report_due():
             self._send(self._quotas.make_wide_report(now_ms), self._addresses.values())
         else:
             self._send(self._quotas.make_report(now_ms), self._list_receivers(now_ms))
--- a/tests/quotaworld.py
+++ b/tests/quotaworld.py
@@ -85,7 +85,8 @@
             quotas.set_expected(in_use, self.now_ms)
             if not quotas.has_regular_reports(self.now_ms):
                 return
-            if int(self.now_ms + phase_ms) % (WIDE_REPORT_INTERVALS * interval_ms) < TICK_MS:
+            is_wide = int(self.now_ms + phase_ms) % (WIDE_REPORT_INTERVALS * interval_ms) < TICK_MS
+            if is_wide or quotas.is_wide_report_due():
                 self._send(name, quotas.make_wide_report(self.now_ms), self.names, 0.0)
             else:
                 receivers = quotas.list_receivers(self.now_ms)
