Do not refuse a query of which some shards have replied

Cause: a part with a reply counted as not run once its call had ended. A query whose other shards rejected it was refused as not run (503), though upstreams had run their parts.

Change: a part with a reply has run; such a query fails (502).

Result: test_query_with_a_part_that_has_run_is_not_refused fails before and passes now; tests of sharing, exchanges, rate limits and fan-out pass.

--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -97,7 +97,9 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether an upstream may have run a call of this part or may still run one."""
-        return self.possibly_run_calls > 0 or any(call.is_sent for call in self.open_calls.values())
+        if self.reply is not None or self.possibly_run_calls > 0:
+            return True
+        return any(call.is_sent for call in self.open_calls.values())
 
 
 class ExchangeDependencies(NamedTuple):
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -217,6 +217,22 @@
     assert {call.upstream.service for call in simulation.cancelled} == {"s2", "s3"}
 
 
+def test_query_with_a_part_that_has_run_is_not_refused():
+    """Guards against a false "not run" for a query of which some shards have replied.
+
+    Load: one query over four shards of which it needs three. Two reply, the others reject it.
+    """
+
+    def plan_reply(call, now_ms):
+        is_full = call.upstream.service in ("s0", "s1")
+        return fail(FailureKind.REJECTED, 20.0) if is_full else succeed(5.0)
+
+    shards = ("s0", "s1", "s2", "s3")
+    simulation = ExchangeSimulation([make_upstream(shard, shard) for shard in shards], plan_reply)
+    outcome, _ = simulation.run(make_route(shards=shards, min_coverage=0.75))
+    assert isinstance(outcome, Failed) and outcome.reason == "rejected"
+
+
 def test_query_without_room_at_too_many_shards_is_refused_before_any_call():
     """Guards against calls for a query that is then refused as not run.
 
