Leave the queue of a service once a permit is reserved

Cause: a part that waited in the queue and then reserved a permit at a rate-limited upstream kept its place. Each wake of the queue's first part made it due, and it used the permit before its time, up to seconds too early and beyond the rate that the upstream names. Meanwhile it held up parts that need no permit.

Change: a part leaves the queue when it gets a permit; a permit is a turn.

Result: test_reserved_permit_is_not_used_before_its_time fails before (the call starts at 200 ms in place of 1745 ms) and passes now; tests of sharing, exchanges and rate limits pass.

--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -449,6 +449,8 @@
         latest_ms = self._find_latest_start_ms(part, now_ms)
         part.reservation = selector.reserve(part.service, now_ms, latest_ms, excluded)
         if part.reservation is not None:
+            # In the queue it would hold up others, which need no permit, and be resumed too early.
+            self._leave_queue(part)
             part.resume_ms = part.reservation.at_ms
             return True
         if choice is not None:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -10,9 +10,11 @@
 
 from exchanges import (
     Arrival,
+    CallEnd,
     Ended,
     ExchangeSimulation,
     fail,
+    make_reply,
     make_route,
     make_single_route,
     make_upstream,
@@ -233,6 +235,31 @@
     assert isinstance(outcome, Failed) and outcome.reason == "rejected"
 
 
+def test_reserved_permit_is_not_used_before_its_time():
+    """Guards against calls beyond the rate that an upstream names, when others join the queue.
+
+    Load: three requests for an upstream with one connection. The first answer names a limit; the
+    second request then waits for its permit while the third arrives.
+    """
+
+    def play(arrivals):
+        simulation = ExchangeSimulation(
+            [make_upstream("a")],
+            lambda call, now_ms: CallEnd(50.0, make_reply(), limit_per_s=0.5),
+            instances=1,
+            services={"s0": ServiceLimits("s0", 1, 3_000.0, 0.0)},
+        )
+        simulation.play_arrivals(arrivals)
+        return [sent_ms - simulation.started_ms for sent_ms, _ in simulation.calls]
+
+    route = make_single_route(objective_ms=4_000.0, timeout_ms=6_000.0)
+    short = make_single_route(name="short", objective_ms=100.0, timeout_ms=150.0)
+    arrivals = [Arrival(0.0, route), Arrival(10.0, route), Arrival(200.0, short)]
+    without_third = play(arrivals[:2])
+    assert without_third[1] > 1_000.0
+    assert play(arrivals) == without_third
+
+
 def test_query_without_room_at_too_many_shards_is_refused_before_any_call():
     """Guards against calls for a query that is then refused as not run.
 
