--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -22,6 +22,7 @@
 from .clock import Clock
 from .fleet import StoreFollower
 from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
+from .gatewaysettings import GatewaySettings
 from .peering import Peering
 from .policy.callertimes import CallerTimes
 from .policy.calls import Outcome, Refused
@@ -35,17 +36,15 @@
 )
 from .policy.demand import make_demand
 from .policy.exchange import ExchangeDependencies
-from .policy.exposure import ExposureLimits
-from .policy.extraload import ExtraLoad, ExtraLoadLimits
+from .policy.extraload import ExtraLoad
 from .policy.feed import Feed
 from .policy.latencies import RouteLatencies
 from .policy.members import Member, Members
-from .policy.quota import QuotaLimits
 from .policy.receiving import derive_limits
 from .policy.registry import Registry
 from .policy.selection import Selector
 from .policy.sharing import Sharing
-from .policy.slowstart import ColdLimits, SlowStart
+from .policy.slowstart import SlowStart
 from .policy.stopping import schedule_stop
 from .randomness import RandomSource
 from .requestlog import RequestLog
@@ -77,36 +76,6 @@
 FINAL_WRITE_MS = 200.0
 
 
-class GatewaySettings(NamedTuple):
-    """Settings of an instance; an address is None if the instance does not use it.
-
-    `grace_ms` is the time allowed for a stop, `address_ttl_s` how long callers may keep a list of
-    addresses, `config_apply_ms` the time allowed for applying a new configuration, and `cores` the
-    processor time of the instance in seconds per second on the scale of the platform's settings.
-    `memory_mb` and `descriptors` are the limits of the process, None if they are not known.
-    `exposure` is None where there are no roll-outs.
-    """
-
-    name: str
-    domain: str
-    callers_address: Address | None
-    ready_address: Address | None
-    directory_address: Address | None
-    store_address: Address
-    hints_address: Address | None
-    grace_ms: float
-    address_ttl_s: float
-    extra_load: ExtraLoadLimits
-    cold: ColdLimits
-    min_lease_ms: float
-    config_apply_ms: float
-    cores: float = 1.0
-    memory_mb: float | None = None
-    descriptors: int | None = None
-    quota: QuotaLimits = QuotaLimits()
-    exposure: ExposureLimits | None = None
-
-
 class Denial(NamedTuple):
     """The answer to a request that is not passed on to an upstream, and the reason to log."""
 
--- a/citronpaddle/platform/options.py
+++ b/citronpaddle/platform/options.py
@@ -2,7 +2,7 @@
 
 import click
 
-from ..gateway import GatewaySettings
+from ..gatewaysettings import GatewaySettings
 from ..status import ExitStatus
 
 
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from ..adapters.addresses import parse_address
-from ..gateway import GatewaySettings
+from ..gatewaysettings import GatewaySettings
 from ..policy.exposure import ExposureLimits
 from ..policy.extraload import ExtraLoadLimits
 from ..policy.quota import QuotaLimits
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -11,7 +11,8 @@
 
 from citronpaddle.adapters.eventlog import EventLog
 from citronpaddle.clock import SystemClock
-from citronpaddle.gateway import Gateway, GatewaySettings
+from citronpaddle.gateway import Gateway
+from citronpaddle.gatewaysettings import GatewaySettings
 from citronpaddle.platform.codec import PlatformCallerCodec, PlatformStateDecoder
 from citronpaddle.platform.headers import PlatformCodec
 from citronpaddle.platform.rollouts import PlatformRolloutCodec
