Move the admission and start of requests out of the gateway

Change: serving.py admits or denies a request and starts its exchange; the gateway builds it and passes requests on. No behaviour changes.

Tests of the gateway, stops, teams, quota, callers, settings and waiting requests pass (190).

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from .adapters.addresses import Address, join_address
 from .adapters.callerconnections import CallerConnection, Connections, RequestHandler
@@ -17,24 +17,14 @@
 from .adapters.httpserver import HttpAnswer, HttpRequest
 from .adapters.intake import Intake, listen
 from .availability import StoreCallTimes
-from .callercodec import CallerCodec, CallerRequest
+from .callercodec import CallerCodec
 from .calllog import CallLog
 from .clock import Clock
 from .fleet import StoreFollower
-from .forwarding import CallCodec, ExchangeRunner, Forwarder, RoutedRequest
+from .forwarding import CallCodec, ExchangeRunner, Forwarder
 from .gatewaysettings import GatewaySettings
 from .peering import Peering
-from .policy.callertimes import CallerTimes
-from .policy.calls import Outcome, Refused
-from .policy.catalog import (
-    CallerLimits,
-    Route,
-    ServiceLimits,
-    Team,
-    WeightedRotation,
-    WeightedService,
-)
-from .policy.demand import make_demand
+from .policy.catalog import CallerLimits, ServiceLimits
 from .policy.exchange import ExchangeDependencies
 from .policy.extraload import ExtraLoad
 from .policy.feed import Feed
@@ -50,19 +40,13 @@
 from .requestlog import RequestLog
 from .rollouts import RolloutRunner, RolloutSettings
 from .rolloutstate import RolloutCodec
+from .serving import RequestServer
 from .sharedstate import SharedState, StateDecoder
 from .statestore import StateStore
 from .teamquotas import TeamQuotas
 
 # Interval of the check for overdue connections and expired entries.
 MAINTENANCE_INTERVAL_MS = 250.0
-# Bounds of the retry time in refusals while no configuration is loaded. The retry time is how long
-# the instance has waited for one: a start takes some hundred ms, and an outage of the store is
-# expected to last as long again as it has lasted.
-MIN_UNREADY_RETRY_MS = 300.0
-MAX_UNREADY_RETRY_MS = 2_000.0
-# The round-trip time to a caller if the kernel reports none: one within a domain.
-DEFAULT_ROUND_TRIP_MS = 5.0
 # The share of the time allowed for applying a new configuration that a change may wait for the
 # next watch call.
 WATCH_INTERVAL_SHARE = 0.3
@@ -76,21 +60,6 @@
 FINAL_WRITE_MS = 200.0
 
 
-class Denial(NamedTuple):
-    """The answer to a request that is not passed on to an upstream, and the reason to log."""
-
-    answer: HttpAnswer
-    reason: str
-    team: Team | None = None
-
-
-class Admitted(NamedTuple):
-    """A request to pass on to upstreams: its route, and its team where callers have keys."""
-
-    route: Route
-    team: Team | None
-
-
 class Gateway:
     """An entry instance: its servers, connection pool, shared state and running exchanges."""
 
@@ -108,15 +77,9 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._random = random
         self._log = log
         self._codec = caller_codec
         self._is_leaving = False
-        # False once a stop has reached the point from which requests are refused.
-        self._accepts_requests = True
-        self._started_ms = clock.now_ms()
-        self._rotations: dict[tuple[str, tuple[WeightedService, ...]], WeightedRotation] = {}
-        self._caller_times = CallerTimes()
         self._tasks: set[asyncio.Task] = set()
         self._servers: list[asyncio.Server] = []
         self._caller_server: asyncio.Server | None = None
@@ -174,6 +137,15 @@
         self._forwarder = Forwarder(
             clock, call_codec, self._pool, dependencies, CallLog(clock, log, self.counts)
         )
+        self._request_server = RequestServer(
+            clock,
+            random,
+            caller_codec,
+            self.state,
+            self._quotas,
+            self._forwarder,
+            self._request_log,
+        )
         self._store_follower = StoreFollower(
             clock,
             store,
@@ -249,7 +221,7 @@
         self._start_task(self._store_follower.leave())
         self.connections.is_closing = True
         await asyncio.sleep((schedule.accept_until_ms - started_ms) / 1_000)
-        self._accepts_requests = False
+        self._request_server.accepts_requests = False
         if self._caller_server is not None:
             self._caller_server.close()
         await self._close_callers(schedule.answer_until_ms)
@@ -295,86 +267,7 @@
 
     def serve(self, request: HttpRequest, connection: CallerConnection) -> ExchangeRunner | None:
         """Answer a caller's request at once and return None, or return its started exchange."""
-        caller_request = self._codec.read_request(request)
-        admission = self._admit(request, caller_request)
-        if isinstance(admission, Denial):
-            connection.answer(admission.answer)
-            request_id = caller_request.id if caller_request else ""
-            self._request_log.record_denied(
-                request_id, admission.answer.status, admission.reason, admission.team
-            )
-            return None
-        return self._start_exchange(request, caller_request, admission, connection)
-
-    def _admit(
-        self, request: HttpRequest, caller_request: CallerRequest | None
-    ) -> Admitted | Denial:
-        """Return the route and team of a request, or the answer to one that is not passed on."""
-        catalog = self.state.catalog
-        if caller_request is None:
-            return Denial(HttpAnswer(400, (), b"malformed request"), "malformed")
-        if catalog is None:
-            waited_ms = request.received_ms - self._started_ms
-            retry_ms = min(MAX_UNREADY_RETRY_MS, max(MIN_UNREADY_RETRY_MS, waited_ms))
-            answer = self._codec.make_refusal("no configuration yet", retry_ms)
-            return Denial(answer, "no_configuration")
-        route = catalog.find_route(caller_request.host, caller_request.path)
-        if route is None:
-            return Denial(HttpAnswer(404, (), b"no such route"), "no_route")
-        team = catalog.find_team(caller_request.key) if caller_request.key else None
-        if team is None and catalog.has_teams and not route.is_public:
-            reason = "unknown_key" if caller_request.key else "no_key"
-            return Denial(self._codec.make_unauthorized(), reason)
-        if not self._accepts_requests:
-            # Any other instance can serve the request at once.
-            return Denial(self._codec.make_refusal("stopping", 0.0), "stopping")
-        retry_ms = self._quotas.admit(team) if team is not None else 0.0
-        if retry_ms > 0:
-            return Denial(self._codec.make_over_quota(retry_ms), "over_quota", team)
-        return Admitted(route, team)
-
-    def _start_exchange(
-        self,
-        request: HttpRequest,
-        caller_request: CallerRequest,
-        admitted: Admitted,
-        connection: CallerConnection,
-    ) -> ExchangeRunner:
-        route, team = admitted
-        catalog = self.state.catalog
-        round_trip_ms = connection.estimate_round_trip_ms()
-        outside_ms = self._caller_times.estimate_outside_ms(
-            route,
-            caller_request.deadline_ms,
-            DEFAULT_ROUND_TRIP_MS if round_trip_ms is None else round_trip_ms,
-            connection.is_first,
-        )
-        deadline_ms = caller_request.deadline_ms or route.timeout_ms
-        routed = RoutedRequest(
-            caller_request.id,
-            route,
-            route.shards or (self._choose_service(route),),
-            request.received_ms,
-            request.received_ms + deadline_ms,
-            self._codec.make_content(request, team.name if team else None, catalog.has_teams),
-            caller_request.is_head,
-            outside_ms,
-            team,
-            make_demand(route, team, catalog),
-        )
-        version = catalog.version
-        admitted_ms = self._clock.now_ms()
-        runner: ExchangeRunner | None = None
-
-        def deliver(outcome: Outcome) -> None:
-            connection.answer(self._codec.make_answer(routed, outcome))
-            if isinstance(outcome, Refused):
-                self._quotas.give_back(team, admitted_ms)
-            self._request_log.record_outcome(routed, version, outcome, runner)
-
-        runner = self._forwarder.create_runner(routed, deliver)
-        runner.start()
-        return runner
+        return self._request_server.serve(request, connection)
 
     def resolve(self, request: HttpRequest) -> HttpAnswer:
         """Return the answer to a caller that requests addresses; 404 for any other request."""
@@ -464,10 +357,7 @@
         self._quotas.set_catalog(self.state.catalog)
         self._peering.review()
         if self.state.catalog is not None:
-            routes = {(route.name, route.targets) for route in self.state.catalog.routes}
-            for key in self._rotations.keys() - routes:
-                del self._rotations[key]
-            self._caller_times.retain({name for name, _ in routes})
+            self._request_server.retain_routes(self.state.catalog.routes)
 
     def _create_rollouts(self, store: StateStore, codec: RolloutCodec) -> RolloutRunner | None:
         settings = self._settings
@@ -484,16 +374,6 @@
             lambda: self._peering.share,
         )
 
-    def _choose_service(self, route: Route) -> str:
-        if len(route.targets) == 1:
-            return route.targets[0].service
-        key = (route.name, route.targets)
-        rotation = self._rotations.get(key)
-        if rotation is None:
-            rotation = WeightedRotation(route.targets, self._random.random())
-            self._rotations[key] = rotation
-        return rotation.choose()
-
     def _find_limits(self, service: str) -> ServiceLimits | None:
         return self.state.catalog.services.get(service) if self.state.catalog else None
 
