Abort closing connections whose callers read nothing

Cause: closing a connection waits until its last answer is written. A caller that stays connected and never reads kept the connection and the unread answer for ever, unless the limit on connections was reached.

Change: such a connection is aborted once the idle timeout has passed since it was closed.

Result: test_closing_connection_whose_caller_reads_nothing_is_aborted fails before and passes now. The bytes of unread answers are still not counted among those that callers hold.

--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -76,6 +76,7 @@
         # Whether no request of this connection has been answered yet.
         self.is_first = True
         self._is_closed = False
+        self._closed_ms = 0.0
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._unparsed = bytearray()
@@ -307,10 +308,17 @@
         return _ROUND_TRIP_US.unpack_from(info, _ROUND_TRIP_OFFSET_BYTES)[0] / 1_000
 
     def close_overdue(self, now_ms: float) -> None:
-        """Close the connection if its request or its next request is overdue."""
-        if self.is_busy or self._is_closed:
-            return
+        """Close the connection if its request or its next request is overdue.
+
+        Abort it if its caller has not read the last answer so long after it was closed.
+        """
         limits = self._service.get_limits()
+        if self._is_closed:
+            if now_ms - self._closed_ms > limits.idle_timeout_ms:
+                self._transport.abort()
+            return
+        if self.is_busy:
+            return
         if self._read_start_ms is None:
             if now_ms - self._idle_since_ms > limits.idle_timeout_ms:
                 self._close()
@@ -372,6 +380,7 @@
     def _close(self) -> None:
         if not self._is_closed:
             self._is_closed = True
+            self._closed_ms = self._clock.now_ms()
             self._transport.close()
             self._in_progress_bytes = 0
             self._unparsed.clear()
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -21,7 +21,7 @@
 
     def __init__(self):
         self.written = b""
-        self.is_closed = self.is_paused = False
+        self.is_closed = self.is_paused = self.is_aborted = False
 
     def get_extra_info(self, name):
         return None
@@ -38,6 +38,9 @@
     def close(self):
         self.is_closed = True
 
+    def abort(self):
+        self.is_aborted = True
+
 
 class Echo(RequestHandler):
     """Answers with the request, at once or in a later turn of the event loop."""
@@ -142,7 +145,7 @@
     size=st.integers(0, 2_000), chunk=st.sampled_from([0, 1, 100, 2_000]), count=st.integers(1, 5)
 )
 def test_requests_inside_the_limits_are_served(size, chunk, count):
-    """Guards against limits that a request inside the pages' limits meets, in any packets."""
+    """Guards against the refusal of a request inside the limits, in any packets."""
     body = b"x" * size
     head = b"POST /c HTTP/1.1\r\nX: %s\r\n" % (b"y" * 200)
     if chunk:
@@ -152,3 +155,14 @@
     written, is_closed, requests = serve(cut(request * count, range(0, 9_999, 97)))
     assert [item.body for item in requests] == [body] * count
     assert written.count(b"HTTP/1.1 200 OK") == count and not is_closed
+
+
+def test_closing_connection_whose_caller_reads_nothing_is_aborted():
+    """Guards against unread answers that are kept for as long as their callers stay connected."""
+    connection, transport, _ = make_connection(Echo(False))
+    connection.data_received(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+    assert transport.is_closed
+    connection.close_overdue(LIMITS.idle_timeout_ms)
+    assert not transport.is_aborted
+    connection.close_overdue(LIMITS.idle_timeout_ms + 1.0)
+    assert transport.is_aborted
