Forget removals of an earlier era when the store is restored

Cause: while all is read, the revisions of relayed removals are kept, so that an older view does not bring keys back. If the store was restored meanwhile, they were compared with revisions of the new era: a key that was written again at a lower revision was ignored until its next change, such as a failure domain that is taken out of service.

Change: the removals are forgotten at the start of the new era.

--- a/citronpaddle/sharedstate.py
+++ b/citronpaddle/sharedstate.py
@@ -119,6 +119,8 @@
         self._is_restored = True
         self._restore_grace_until_ms = now_ms + RESTORE_GRACE_MS
         self._revisions = dict.fromkeys(self._revisions, 0)
+        if self._removed_while_reading is not None:
+            self._removed_while_reading = {}
         self._state.revision = 0
         self._state.registry.handle_store_return(now_ms)
         self._state.members.handle_store_return(now_ms)
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -9,14 +9,15 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from fakestore import FakeStore
 from fleetworld import FleetWorld, SimulatedInstance, VirtualTimeLoop
 from platformworld import StoreStandIn
-from test_fleet import make_entry
+from test_fleet import Follower, make_entry
 
 from citronpaddle.adapters.connections import ConnectionPool
 from citronpaddle.clock import SystemClock
 from citronpaddle.platform.store import HttpStateStore
-from citronpaddle.statestore import HistoryLost, LeaseEnded, StoreFailure
+from citronpaddle.statestore import HistoryLost, LeaseEnded, StoreFailure, StoreItem, StoreView
 
 # Entries are written again within two seconds; what is read of them is in force 4 s later.
 SETTLE_S = 6.0
@@ -176,6 +177,21 @@
     _run(scenario, 4, 1)
 
 
+def test_removal_of_an_earlier_era_is_forgotten():
+    """Guards against an entry that is ignored: its key was removed at a later revision before.
+
+    The store is restored during a full read, after a relayed removal.
+    """
+    updater = Follower(FakeStore()).store_follower._updater
+    state = updater._state
+    updater.apply_changes((StoreItem("op/evacuate/b", b"{}", 10),), 10)
+    updater.begin_full_read()
+    updater.apply_changes((StoreItem("op/evacuate/b", None, 20),), 20)
+    updater.begin_era()
+    updater.apply_view(StoreView((StoreItem("op/evacuate/b", b"{}", 15),), 15, 1))
+    assert state.registry.out_domains == {"b"} and state.revision == 15
+
+
 def _call_store(scenario: Callable[[HttpStateStore, StoreStandIn], Awaitable[None]]) -> None:
     """Run `scenario` with the client of the platform's store and a stand-in for it."""
 
