Split the parts, their queue and the moment of an answer from exchanges

Change: policy/parts has the state of a part, policy/partqueue its places in the queues of services, policy/partialanswers the soft deadline and the minimum coverage. No behaviour changes.

Tests of exchanges, sharing, rate limits, caller times, pace, hedging, uneven load, waiting requests, the gateway and extra load pass (156).

--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -6,7 +6,6 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from .calls import (
@@ -30,20 +29,15 @@
 from .extraload import ExtraLoad
 from .hints import Hints
 from .latencies import RouteLatencies
+from .partialanswers import find_soft_deadline_ms, meets_min_coverage
+from .partqueue import PartQueue
+from .parts import Part
 from .registry import Upstream
-from .selection import Choice, Reservation, Selector
-from .sharing import Sharing, Shortage, Ticket
+from .selection import Choice, Selector
+from .sharing import Sharing, Shortage
 
 # Maximum calls per part, including rejected ones; more would add load to a failing upstream.
 MAX_CALLS = 5
-# Share of the objective reserved for merging the replies and for return delays, and its minimum.
-ANSWER_MARGIN_SHARE = 0.03
-ANSWER_MARGIN_MS = 5.0
-# Maximum share of the objective that is reserved for answer overruns: a larger reserve would leave
-# no time for the upstreams.
-MAX_OVERRUN_SHARE = 0.2
-# Multiple of the mean overrun that is reserved, up to that share.
-OVERRUN_FACTOR = 2.0
 # Time before the route's timeout or the caller's deadline that is reserved to send the answer.
 TIMEOUT_MARGIN_MS = 15.0
 # A call cancelled after this multiple of the late threshold counts as a slow one.
@@ -67,39 +61,6 @@
 MAX_RETRY_LIMITED_MS = 1_000.0
 # Minimum delay of the timer for a part with open calls.
 MIN_TIMER_DELAY_MS = 1.0
-# Tolerance when a count of parts is compared with a fractional minimum.
-COVERAGE_TOLERANCE = 1e-9
-
-
-@dataclass(slots=True)
-class _Part:
-    service: str
-    reply: Reply | None = None
-    error_reply: Reply | None = None
-    open_calls: dict[int, Call] = field(default_factory=dict)
-    tried: list[str] = field(default_factory=list)
-    # Upstreams that may have received the request; a route limits their number.
-    used_upstreams: set[str] = field(default_factory=set)
-    calls: int = 0
-    resume_ms: float = 0.0
-    # The permit for which the part waits until `resume_ms`.
-    reservation: Reservation | None = None
-    # The place of its first call in the queue of the service, while it waits for room.
-    ticket: Ticket | None = None
-    rejections: int = 0
-    # Number of ended calls that an upstream may have run.
-    possibly_run_calls: int = 0
-    is_done: bool = False
-    is_answer_expected: bool = True
-    is_hedged: bool = False
-    last_failure: str = ""
-
-    @property
-    def may_have_run(self) -> bool:
-        """Return whether an upstream may have run a call of this part or may still run one."""
-        if self.reply is not None or self.possibly_run_calls > 0:
-            return True
-        return any(call.is_sent for call in self.open_calls.values())
 
 
 class ExchangeDependencies(NamedTuple):
@@ -139,24 +100,24 @@
         self.route = route
         # The first shortage for which a part was given up.
         self.shortage: Shortage | None = None
-        self._demand = demand or Demand(route.priority)
-        self._on_resume = on_resume
         self.received_ms = received_ms
         self.deadline_ms = min(deadline_ms, received_ms + route.timeout_ms) - TIMEOUT_MARGIN_MS
         self.outcome: Outcome | None = None
         # Whether coverage suffices and the answer only waits for more parts or the soft deadline.
         self._is_waiting_for_more = False
         self._is_sharded = bool(route.shards)
-        # The mean overrun counts twice: a busy instance also reads requests about as late as it
-        # decides on their answers.
-        margin_ms = max(ANSWER_MARGIN_MS, ANSWER_MARGIN_SHARE * route.objective_ms)
-        margin_ms += min(
-            OVERRUN_FACTOR * dependencies.latencies.mean_overrun_ms,
-            MAX_OVERRUN_SHARE * route.objective_ms,
+        self.soft_deadline_ms = find_soft_deadline_ms(
+            route, received_ms, outside_ms, dependencies.latencies.mean_overrun_ms
+        )
+        self._queue = PartQueue(
+            dependencies.sharing,
+            demand or Demand(route.priority),
+            self.soft_deadline_ms,
+            self.deadline_ms,
+            on_resume,
         )
-        self.soft_deadline_ms = received_ms + route.objective_ms - outside_ms - margin_ms
         self._dependencies = dependencies
-        self._parts = [_Part(service) for service in services]
+        self._parts = [Part(service) for service in services]
         # Counters instead of scans of the parts: a query over 88 parts needs them at every reply.
         self._pending_count = len(self._parts)
         self._expected_count = len(self._parts)
@@ -260,7 +221,7 @@
         self._update_outcome(now_ms)
         return self._drop_unneeded_sends(actions, now_ms)
 
-    def _record_rejections(self, part: _Part, kind: FailureKind, now_ms: float) -> None:
+    def _record_rejections(self, part: Part, kind: FailureKind, now_ms: float) -> None:
         part.rejections = part.rejections + 1 if kind is FailureKind.REJECTED else 0
         if part.rejections < REJECTIONS_OF_FULL_SERVICE:
             return
@@ -330,7 +291,7 @@
     def _cancel(self, calls: list[Call], now_ms: float) -> list[Action]:
         """Cancel calls after the end of the request, which then waits for no room either."""
         for part in self._parts:
-            self._leave_queue(part)
+            self._queue.leave(part)
         actions: list[Action] = []
         for call in calls:
             self._remove_call(call, now_ms)
@@ -344,7 +305,7 @@
             actions.append(Cancel(call))
         return actions
 
-    def _find_due_time(self, part: _Part) -> float | None:
+    def _find_due_time(self, part: Part) -> float | None:
         """Return when a part with open calls needs a replacement or a hedge, or None."""
         unsent = self._find_unsent(part)
         if unsent is not None:
@@ -353,7 +314,7 @@
             return None
         return next(iter(part.open_calls.values())).started_ms + self._late_threshold_ms
 
-    def _find_unsent(self, part: _Part) -> Call | None:
+    def _find_unsent(self, part: Part) -> Call | None:
         return next((call for call in part.open_calls.values() if not call.is_sent), None)
 
     def _replace_or_hedge(self, index: int, now_ms: float, actions: list[Action]) -> None:
@@ -404,7 +365,8 @@
     def _start_call(self, index: int, now_ms: float, reason: str, actions: list[Action]) -> None:
         """Call an upstream for this part; the part waits if none has capacity."""
         part = self._parts[index]
-        if not self._has_turn(part, now_ms):
+        if not self._queue.has_turn(part, now_ms):
+            self._finish_if_refused(part, now_ms)
             return
         reservation, part.reservation = part.reservation, None
         if reservation is not None and self._dependencies.selector.may_use(reservation, now_ms):
@@ -425,7 +387,7 @@
         part.is_answer_expected = choice.is_healthy
         self._send(index, choice.upstream, now_ms, reason, actions, reservation is not None)
 
-    def _choose(self, part: _Part, now_ms: float) -> Choice | None:
+    def _choose(self, part: Part, now_ms: float) -> Choice | None:
         """Return an upstream that has not been tried for this part, or else the best of them."""
         selector = self._dependencies.selector
         choice = None
@@ -437,7 +399,7 @@
             choice = selector.choose(part.service, now_ms, self._late_threshold_ms, excluded)
         return choice
 
-    def _wait_for_upstream(self, part: _Part, choice: Choice | None, now_ms: float) -> bool:
+    def _wait_for_upstream(self, part: Part, choice: Choice | None, now_ms: float) -> bool:
         """Make the part wait if no healthy upstream can accept it now; return whether it waits.
 
         A part that would get a permit at rate-limited upstreams too late does not wait.
@@ -450,7 +412,7 @@
         part.reservation = selector.reserve(part.service, now_ms, latest_ms, excluded)
         if part.reservation is not None:
             # In the queue it would hold up others, which need no permit, and be resumed too early.
-            self._leave_queue(part)
+            self._queue.leave(part)
             part.resume_ms = part.reservation.at_ms
             return True
         if choice is not None:
@@ -465,60 +427,20 @@
             return False
         part.resume_ms = now_ms + CAPACITY_RECHECK_MS
         if part.calls == 0:
-            self._join_queue(part, now_ms)
+            self._queue.join(part, now_ms)
+            self._finish_if_refused(part, now_ms)
         return True
 
-    def _has_turn(self, part: _Part, now_ms: float) -> bool:
-        """Return whether a part may be called; a first call waits for its turn at the service.
-
-        Repeated calls have their own budget and delays; a permit is a turn.
-        """
-        sharing = self._dependencies.sharing
-        if part.calls > 0 or part.reservation is not None:
-            return True
-        if part.ticket is None and not sharing.is_congested(part.service, now_ms):
-            return True
-        if not self._join_queue(part, now_ms):
-            return False
-        if sharing.is_turn(part.ticket, now_ms):
-            return True
-        part.resume_ms = part.ticket.end_ms
-        return False
-
-    def _join_queue(self, part: _Part, now_ms: float) -> bool:
-        """Queue a part, unless it waits already; return whether its answer may come in time.
-
-        Otherwise the part is finished.
-        """
-        if part.ticket is None:
-            part.ticket = self._dependencies.sharing.join(
-                part.service,
-                self._demand,
-                self.soft_deadline_ms,
-                self.deadline_ms,
-                lambda: self._resume(part),
-                now_ms,
-            )
-        ticket = part.ticket
-        if ticket.shortage is None and now_ms < ticket.end_ms:
-            return True
+    def _finish_if_refused(self, part: Part, now_ms: float) -> None:
+        """Finish a part that waits for room in vain."""
+        if not self._queue.is_refused(part, now_ms):
+            return
         part.last_failure = part.last_failure or "no_room"
-        self._retry_ms = max(self._retry_ms, ticket.retry_ms)
-        self.shortage = self.shortage or ticket.shortage
+        self._retry_ms = max(self._retry_ms, part.ticket.retry_ms)
+        self.shortage = self.shortage or part.ticket.shortage
         self._finish_part(part)
-        return False
-
-    def _resume(self, part: _Part) -> None:
-        """Make the timer due: the part may be called, or has no more chance to be."""
-        part.resume_ms = 0.0
-        self._on_resume()
 
-    def _leave_queue(self, part: _Part) -> None:
-        ticket, part.ticket = part.ticket, None
-        if ticket is not None:
-            self._dependencies.sharing.leave(ticket)
-
-    def _find_latest_start_ms(self, part: _Part, now_ms: float) -> float:
+    def _find_latest_start_ms(self, part: Part, now_ms: float) -> float:
         """Return until when a first call is useful: its reply should be in time for the objective.
 
         A part that has been called, or without which the answer lacks coverage, may also be late.
@@ -530,7 +452,7 @@
             return self.deadline_ms - self._late_threshold_ms
         return self.soft_deadline_ms - self._late_threshold_ms
 
-    def _list_excluded(self, part: _Part) -> list[str]:
+    def _list_excluded(self, part: Part) -> list[str]:
         """Return the upstreams excluded because the part has reached its upstream limit."""
         if len(part.used_upstreams) < self.route.max_upstreams:
             return []
@@ -547,11 +469,7 @@
         is_reserved: bool = False,
     ) -> None:
         part = self._parts[index]
-        sharing = self._dependencies.sharing
-        if part.ticket is not None:
-            sharing.start(part.ticket, now_ms)
-            part.ticket = None
-        sharing.record_call(part.service)
+        self._queue.record_call(part, now_ms)
         call = Call(next(self._dependencies.call_ids), index, upstream, now_ms, reason)
         part.calls += 1
         part.open_calls[call.id] = call
@@ -586,18 +504,15 @@
         self._calls.pop(call.id, None)
         self._parts[call.part].open_calls.pop(call.id, None)
 
-    def _finish_part(self, part: _Part) -> None:
-        self._leave_queue(part)
+    def _finish_part(self, part: Part) -> None:
+        self._queue.leave(part)
         if not part.is_done:
             part.is_done = True
             self._pending_count -= 1
             self._expected_count -= part.is_answer_expected
 
     def _meets_min_coverage(self, count: int) -> bool:
-        # Binary fractions round: 0.9 of 10 parts must not come out above 9.
-        return (
-            count >= 1 and count >= self.route.min_coverage * len(self._parts) - COVERAGE_TOLERANCE
-        )
+        return meets_min_coverage(self.route, count, len(self._parts))
 
     def _can_reach_min_coverage(self) -> bool:
         """Return whether enough parts have a reply or may still get one."""
