Read odd deadlines of callers without an error

Cause: a deadline of more than 4300 digits raised an error, since Python refuses to read it, and was answered with 502. A deadline of 0 counted as none, so that upstreams got the whole timeout of the route.

Change: only as many digits are read as exceed the maximum; a request without time left is refused before any call.

--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -51,6 +51,7 @@
 _IDENTITY_HEADERS = frozenset({_AUTHORIZATION_KEY, TEAM.lower()})
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _MAX_DEADLINE_MS = 86_400_000
+_MAX_DEADLINE_DIGITS = 9
 # Statuses that tell a caller that its request has not run. An upstream guarantees this only with
 # the header NOT_EXECUTED; without it they are not passed on to the caller.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -97,7 +98,9 @@
         elif key == _ATTEMPT_KEY:
             attempt_id = value.strip()
         elif key == _DEADLINE_KEY and value.strip().isdigit():
-            deadline_ms = float(min(int(value), _MAX_DEADLINE_MS))
+            # Python refuses to read thousands of digits; these show that it exceeds the maximum.
+            digits = value.strip().lstrip(b"0")[:_MAX_DEADLINE_DIGITS] or b"0"
+            deadline_ms = float(min(int(digits), _MAX_DEADLINE_MS))
     if not host or not request.target.startswith(b"/"):
         return None
     path = request.target.partition(b"?")[0]
--- a/citronpaddle/serving.py
+++ b/citronpaddle/serving.py
@@ -130,7 +130,9 @@
             DEFAULT_ROUND_TRIP_MS if round_trip_ms is None else round_trip_ms,
             connection.is_first,
         )
-        deadline_ms = caller_request.deadline_ms or route.timeout_ms
+        deadline_ms = caller_request.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = route.timeout_ms
         routed = RoutedRequest(
             caller_request.id,
             route,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -498,6 +498,16 @@
     run_scenario(scenario)
 
 
+def test_request_without_time_left_is_refused():
+    """Guards against calls that have more time than their caller states."""
+
+    async def scenario(setup):
+        status, _, _ = await setup.ask(path="/p/x", deadline=0)
+        assert status == 503 and not list_executed(setup)
+
+    run_scenario(scenario)
+
+
 def test_unexpected_error_ends_one_request_only():
     """Guards against an error in one request that leaves its caller waiting or ends the process."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from citronpaddle.adapters.httpserver import HttpRequest
 from citronpaddle.platform import documents
+from citronpaddle.platform.headers import read_fields
 from citronpaddle.platform.settings import PlatformSettingsError, load_settings
 
 SETTINGS = """
@@ -200,3 +202,13 @@
     """Guards against bytes in place of an entry, or of a part of it, that raise any other error."""
     whole = json.dumps(ENTRY).encode()
     decode_entry("i-1", whole[:begin] + odd + whole[end:])
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [(b"9" * 5_000, 86_400_000.0), (b"0" * 5_000 + b"7", 7.0), (b"-1", None)]
+)
+def test_odd_deadline_is_read(text, expected):
+    """Guards against an error in place of an answer: Python refuses to read thousands of digits."""
+    headers = ((b"Host", b"h.example"), (b"Citronpaddle-Deadline-Ms", text))
+    fields = read_fields(HttpRequest(b"GET", b"/p/x", headers, b"", 0.0))
+    assert fields.deadline_ms == expected
