--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-import socket
-import struct
 from abc import ABC, abstractmethod
 from typing import Any
 
@@ -19,11 +17,8 @@
 from .httpclient import set_keep_alive
 from .httpserver import HttpAnswer, HttpRequest, format_answer
 from .intake import Intake, LimitedConnection
+from .roundtrips import read_round_trip_ms
 
-# The smoothed round-trip time in us (tcpi_rtt) in the kernel's struct tcp_info.
-_ROUND_TRIP_US = struct.Struct("I")
-_ROUND_TRIP_OFFSET_BYTES = 68
-_TCP_INFO_BYTES = 104
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_OF_EXCESS = {
     LimitReason.HEADER_BYTES: 431,
@@ -298,14 +293,7 @@
 
     def estimate_round_trip_ms(self) -> float | None:
         """Return the network time of a request and its answer in ms, or None if unknown."""
-        sock = self._transport.get_extra_info("socket")
-        try:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
-        except OSError:
-            return None
-        if len(info) < _ROUND_TRIP_OFFSET_BYTES + _ROUND_TRIP_US.size:
-            return None
-        return _ROUND_TRIP_US.unpack_from(info, _ROUND_TRIP_OFFSET_BYTES)[0] / 1_000
+        return read_round_trip_ms(self._transport.get_extra_info("socket"))
 
     def close_overdue(self, now_ms: float) -> None:
         """Close the connection if its request or its next request is overdue.
