--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-import socket
-import struct
 from abc import ABC, abstractmethod
 from typing import Any
 
@@ -19,11 +17,8 @@
 from .httpclient import set_keep_alive
 from .httpserver import HttpAnswer, HttpRequest, format_answer
 from .intake import Intake, LimitedConnection
+from .roundtrips import read_round_trip_ms
 
-# The smoothed round-trip time in us (tcpi_rtt) in the kernel's struct tcp_info.
-_ROUND_TRIP_US = struct.Struct("I")
-_ROUND_TRIP_OFFSET_BYTES = 68
-_TCP_INFO_BYTES = 104
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_OF_EXCESS = {
     LimitReason.HEADER_BYTES: 431,
@@ -76,6 +71,7 @@
         # Whether no request of this connection has been answered yet.
         self.is_first = True
         self._is_closed = False
+        self._closed_ms = 0.0
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._unparsed = bytearray()
@@ -297,20 +293,20 @@
 
     def estimate_round_trip_ms(self) -> float | None:
         """Return the network time of a request and its answer in ms, or None if unknown."""
-        sock = self._transport.get_extra_info("socket")
-        try:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
-        except OSError:
-            return None
-        if len(info) < _ROUND_TRIP_OFFSET_BYTES + _ROUND_TRIP_US.size:
-            return None
-        return _ROUND_TRIP_US.unpack_from(info, _ROUND_TRIP_OFFSET_BYTES)[0] / 1_000
+        return read_round_trip_ms(self._transport.get_extra_info("socket"))
 
     def close_overdue(self, now_ms: float) -> None:
-        """Close the connection if its request or its next request is overdue."""
-        if self.is_busy or self._is_closed:
-            return
+        """Close the connection if its request or its next request is overdue.
+
+        Abort it if its caller has not read the last answer so long after it was closed.
+        """
         limits = self._service.get_limits()
+        if self._is_closed:
+            if now_ms - self._closed_ms > limits.idle_timeout_ms:
+                self._transport.abort()
+            return
+        if self.is_busy:
+            return
         if self._read_start_ms is None:
             if now_ms - self._idle_since_ms > limits.idle_timeout_ms:
                 self._close()
@@ -372,6 +368,7 @@
     def _close(self) -> None:
         if not self._is_closed:
             self._is_closed = True
+            self._closed_ms = self._clock.now_ms()
             self._transport.close()
             self._in_progress_bytes = 0
             self._unparsed.clear()
