Write the steps of an order that a malformed one follows

Cause: all writes of a roll-out have the condition that the order's key is unchanged. A malformed order changes it, is refused and leaves the order before in force, but the known revision stayed that of the order before: each write conflicted, and the status stayed running.

Change: the revision of a refused order becomes the expected one, if there is an order in force that was not removed.

Result: the new test failed for both versions before (running in place of succeeded) and passes. Run: tests/test_rollouts.py.

--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -152,6 +152,9 @@
             return
         order = self._codec.decode_order(service, item.value)
         if isinstance(order, InvalidOrder):
+            if shared.order_revision:
+                # The steps of the order in force are still written, on condition of this revision.
+                shared.order_revision = item.revision
             self._refuse_order(service, order)
             return
         self.routing.barred.pop(service, None)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -301,6 +301,21 @@
     run_world(scenario, vary(), count=3)
 
 
+@pytest.mark.parametrize("version", [NEW, "v3"])
+def test_malformed_order_leaves_the_one_before_in_force(version):
+    """Guards against a roll-out that never ends, as its writes conflict with the newer order."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.write_order(duration_s=20)
+        world.start_new()
+        await world.play(4, 60)
+        world.write_order(version, duration_s=-3)
+        await world.play(18, 60)
+        assert world.read_status() == SUCCEEDED
+
+    run_world(scenario, vary(), count=3)
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"\xff", b"[]", b"{}", b'{"target_version":""}', b"[" * 9_999]
 )
