Bound and check the counts of roll-outs

Cause: a report in the store with impossible counts, for instance calls below 0, led to a division by zero in each review, so that the roll-out was never decided. Calls to other versions were only pruned when the target version had got calls: an order that waits for its upstreams grew the tally by a stratum a second, for as long as its duration.

Change: a report with impossible counts cannot be read, as one that is no JSON. Each review prunes the own tally.

--- a/citronpaddle/policy/rollout.py
+++ b/citronpaddle/policy/rollout.py
@@ -231,6 +231,8 @@
 
     def judge(self, newest_span: int) -> Finding | None:
         """Judge the target version by the calls so far; stop calling it if it is bad."""
+        # Without calls to the target nothing is judged, but those to other versions are counted.
+        self.tally.remove_old_spans(newest_span)
         if not self._is_judged:
             self._is_judged = True
             tally = self.merge_tallies(newest_span)
--- a/citronpaddle/rolloutstate.py
+++ b/citronpaddle/rolloutstate.py
@@ -7,7 +7,7 @@
 import json
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from .policy.judgement import CallCounts, Stratum, Tally
 from .policy.rollout import (
@@ -22,6 +22,8 @@
 
 RECORD_PREFIX = "citronpaddle/rollouts/"
 COUNTS_PREFIX = "citronpaddle/rollout-counts/"
+# No instance has more calls in a stratum; the arithmetic of the judgement stays exact up to here.
+MAX_CALLS = 10**6
 
 
 class InvalidOrder(NamedTuple):
@@ -158,7 +160,7 @@
     try:
         document = json.loads(value)
         tally = Tally(
-            (Stratum(int(span), str(route), bool(is_remote)), CallCounts(*map(int, counts)))
+            (Stratum(int(span), str(route), bool(is_remote)), _decode_counts(counts))
             for span, route, is_remote, *counts in document["rows"]
         )
         return CountsReport(str(document["target_version"]), float(document["duration_ms"]), tally)
@@ -166,6 +168,15 @@
         return None
 
 
+def _decode_counts(numbers: list[Any]) -> CallCounts:
+    """Return the counts of a row; raise ValueError or TypeError if they are impossible."""
+    counts = CallCounts(*map(int, numbers))
+    for calls, bad in ((counts.target, counts.target_bad), (counts.other, counts.other_bad)):
+        if not 0 <= bad <= calls <= MAX_CALLS:
+            raise ValueError("the counts are out of range")
+    return counts
+
+
 @dataclass(slots=True)
 class RolloutRun:
     """The work on one roll-out in this instance; times are monotonic, but for `started_ms`.
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -9,10 +9,17 @@
 
 from citronpaddle.platform.rollouts import PlatformRolloutCodec
 from citronpaddle.policy.exposure import Exposure, ExposureLimits
-from citronpaddle.policy.judgement import RUNNING_THRESHOLDS, CallCounts, Stratum, Tally, find_fault
+from citronpaddle.policy.judgement import (
+    MAX_SPANS,
+    RUNNING_THRESHOLDS,
+    CallCounts,
+    Stratum,
+    Tally,
+    find_fault,
+)
 from citronpaddle.policy.rollout import Decision, Rollout, RolloutOrder, RolloutState, Step
 from citronpaddle.randomness import RandomSource
-from citronpaddle.rolloutstate import InvalidOrder
+from citronpaddle.rolloutstate import InvalidOrder, decode_report
 from citronpaddle.statestore import StoreItem, StoreView
 
 SUCCEEDED, ROLLED_BACK = ("succeeded", NEW), ("rolled_back", NEW)
@@ -381,11 +388,31 @@
     assert find_fault(tally, 8, RUNNING_THRESHOLDS).scope == "all routes"
 
 
+def make_rollout() -> Rollout:
+    return Rollout(RolloutOrder("s0", NEW, 1_000.0), Exposure(ExposureLimits(0.1, 5.0), 1.0, 0.5))
+
+
+@pytest.mark.parametrize(
+    "counts", ["[3,0,-2,0]", "[1,2,5,0]", "[1,0,2,3]", "[1e400,0,9,0]", f"[9,0,{10**400},0]"]
+)
+def test_report_with_impossible_counts_is_ignored(counts):
+    """Guards against a judgement that fails, again and again, on what another writer has left."""
+    value = f'{{"target_version":"v2","duration_ms":1.0,"rows":[[7,"r",false,{counts[1:-1]}]]}}'
+    assert decode_report(value.encode()) is None
+
+
+def test_trial_without_calls_to_the_target_keeps_no_old_counts():
+    """Guards against memory that grows as long as an order waits for upstreams of its version."""
+    rollout = make_rollout()
+    for span in range(10 * MAX_SPANS):
+        rollout.record_answer(make_upstream("a", version=OLD), Stratum(span, "r", False), False)
+        rollout.judge(span)
+    assert len(rollout.tally.list_rows()) <= MAX_SPANS
+
+
 def test_old_upstreams_get_no_calls_after_success():
     """Guards against calls to upstreams that have stopped, and against losing later versions."""
-    rollout = Rollout(
-        RolloutOrder("s0", NEW, 1_000.0), Exposure(ExposureLimits(0.1, 5.0), 1.0, 0.5)
-    )
+    rollout = make_rollout()
     rollout.other_versions = {OLD}
     rollout.state = RolloutState.SUCCEEDED
     upstreams = tuple(make_upstream(name, version=name) for name in (OLD, NEW, "v3"))
