Keep the token of a refused query that some shards ran

Cause: a query that is given up because too few shards have room is refused, although other shards have answered it and so have run it. Its token was given back, so that a team over its quota had more requests run than the quota allows while room was short.

Change: the token is given back only if no shard has answered.

Result: the new test failed before (503 in place of 429 for the second query) and passes. That such a query is answered with 503 stays as it is. Run: the tests of tests/test_quota.py on tokens and refusals.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -399,7 +399,8 @@
 
         def deliver(outcome: Outcome) -> None:
             connection.answer(self._codec.make_answer(routed, outcome))
-            if isinstance(outcome, Refused):
+            # A refused query may have run on some shards.
+            if isinstance(outcome, Refused) and not runner.exchange.answered_parts:
                 self._quotas.give_back(team, admitted_ms)
             self._request_log.record_outcome(routed, version, outcome, runner)
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -7,7 +7,7 @@
 import math
 
 import pytest
-from gatewayworld import SINGLE_ROUTE, list_executed, run_scenario
+from gatewayworld import FANOUT_ROUTE, SINGLE_ROUTE, list_executed, run_scenario
 from quotaworld import LIMITS, QuotaWorld
 
 from citronpaddle.adapters.hintchannel import MAX_DATAGRAM_BYTES, PeerMessage, decode, encode
@@ -261,3 +261,24 @@
         assert (await setup.ask(headers=headers))[0] == 200
 
     run_scenario(scenario)
+
+
+def test_refused_query_that_some_shards_ran_keeps_its_token():
+    """Guards against a quota that is exceeded by queries for which only some shards have room."""
+
+    async def scenario(setup):
+        teams = [{"name": "birch", "api_keys": ["key-3"], "rate_per_s": 0.01}]
+        setup.platform.configure([FANOUT_ROUTE | {"min_shard_ratio": 1.0}], tenants=teams)
+        await setup.wait_for_configuration()
+
+        def reject(request, connection) -> bool:
+            connection.reply(503, {"Citronpaddle-Not-Executed": "1"}, b"")
+            return True
+
+        setup.platform.upstreams["c"].answer = reject
+        headers = ["Authorization: Token key-3"]
+        assert (await setup.ask(path="/q/x", headers=headers))[0] == 503
+        assert list_executed(setup)
+        assert (await setup.ask(path="/q/x", headers=headers, attempt="t2"))[0] == 429
+
+    run_scenario(scenario)
