Refuse settings with numbers that are not finite

Cause: NaN passes the check of the quota's window and slack, since every comparison with it is false; each request of a team with a quota then failed with an internal error. An integer of hundreds of digits ended the start with a traceback.

Change: a number of the settings has to be below 2**53 in size, as in the documents of the store.

Run: the tests of the settings in tests/test_platform.py.

--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -131,4 +131,7 @@
     value = table.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise PlatformSettingsError(f"{name} must be a number")
+    # The comparison is also false for NaN.
+    if not abs(value) < MAX_NUMBER:
+        raise PlatformSettingsError(f"{name} is out of range")
     return float(value)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -56,6 +56,9 @@
         ('"127.0.0.1:8104"', '"nowhere"', "front"),
         ('address = "127.0.0.1:1"', "address = 1", "address"),
         ("[bounds]", "[bounds", "local.toml"),
+        ("grace_s = 6", "quota_window_s = nan", "quota_window_s"),
+        ("grace_s = 6", "quota_slack = inf", "quota_slack"),
+        ("grace_s = 6", f"quota_slack = {10**400}", "quota_slack"),
     ],
 )
 def test_bad_settings_name_the_field(tmp_path, old, new, field):
