Collect the teams of a configuration once

Cause: after each change of the shared state, such as the entry of an upstream, the teams with a quota were collected anew from all keys: 0.02 ms with 73 teams of 3 keys, 1.2 ms with 100 teams of 200 keys.

Change: a catalog, which is immutable, collects its teams when it is built, and the quotas skip a catalog that they have.

Result: below 0.001 ms in both cases (mean of 20 calls on one x86-64 core). Run: tests/test_catalog.py, test_teams.py, test_team_changes.py, test_quota.py.

--- a/citronpaddle/policy/catalog.py
+++ b/citronpaddle/policy/catalog.py
@@ -96,6 +96,8 @@
         self.limits = limits
         self.services = {service.name: service for service in services}
         self._teams_by_key = teams_by_key
+        # The teams that hold at least one key.
+        self.teams = frozenset((teams_by_key or {}).values())
         quotas = [team.rate_per_s for team in self.teams if team.has_quota]
         # The mean rate of the quotas; any value if there are none, since all teams weigh the same.
         self.mean_quota_per_s = sum(quotas) / len(quotas) if quotas else 1.0
@@ -108,11 +110,6 @@
         """Return whether callers are identified by keys."""
         return self._teams_by_key is not None
 
-    @property
-    def teams(self) -> frozenset[Team]:
-        """Return the teams that hold at least one key."""
-        return frozenset((self._teams_by_key or {}).values())
-
     def find_team(self, key: str) -> Team | None:
         """Return the team that holds `key`, or None for an unknown or withdrawn key."""
         return (self._teams_by_key or {}).get(key)
--- a/citronpaddle/teamquotas.py
+++ b/citronpaddle/teamquotas.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._log = log
         self._quotas = Quotas(limits, name, incarnation, clock.now_ms())
+        self._catalog: Catalog | None = None
         self._send: Callable[[QuotaReport, Iterable[Address]], None] = lambda report, to: None
         # The addresses of the other instances by name.
         self._addresses: dict[str, Address] = {}
@@ -52,7 +53,10 @@
         self._quotas.limits = limits
 
     def set_catalog(self, catalog: Catalog | None) -> None:
-        """Apply the quotas of a configuration."""
+        """Apply the quotas of a configuration; it is called after every change of the state."""
+        if catalog is self._catalog:
+            return
+        self._catalog = catalog
         teams = catalog.teams if catalog else ()
         self._quotas.set_teams({team.name: team for team in teams if team.has_quota})
 
