Count the requests of teams that only other instances know

Cause: an instance dropped the reported requests of a team that its own configuration does not have yet. Instances apply a version at different times, so that each gave a new team, or one with its first key, a full quota when it learned of it.

The usage of a team that is not configured and has nothing to count is removed with the next report to all instances.

Run: tests/test_quota.py.

--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -35,6 +35,8 @@
 ENTRY_BYTES = 30
 # Most instances that a report names as silent; their names have to fit as well.
 MAX_MISSED = 24
+# Most teams counted that this instance does not know: others may have a newer configuration.
+MAX_UNKNOWN_TEAMS = 256
 # Interval of the reports to the instances in use. It grows with their number, so that an instance
 # sends and receives 250 such reports a second at most.
 REPORT_INTERVAL_MS = 250.0
@@ -299,6 +301,23 @@
             team = self._teams.get(change.team)
             if team is not None:
                 self._apply_admissions(team, report.incarnation, change, now_ms)
+            else:
+                self._apply_unknown(report.incarnation, change, now_ms)
+
+    def _apply_unknown(self, incarnation: str, change: Admissions, now_ms: float) -> None:
+        """Count requests of a team that is not configured here, for the window alone.
+
+        Without a rate, no tokens are refilled: a debt would only grow.
+        """
+        usage = self._usage.get(change.team)
+        if usage is None:
+            # Just after the start, the burst of any team counts as used when it becomes known.
+            is_starting = now_ms - self._started_ms < self.limits.window_ms
+            unknown = len(self._usage.keys() - self._teams.keys())
+            if is_starting or unknown >= MAX_UNKNOWN_TEAMS:
+                return
+            usage = self._usage[change.team] = _TeamUsage(0.0, now_ms)
+        usage.change_count(incarnation, change.count, self.limits.window_ms, now_ms)
 
     def _apply_admissions(
         self, team: Team, incarnation: str, change: Admissions, now_ms: float
@@ -355,8 +374,11 @@
 
     def make_wide_report(self, now_ms: float) -> QuotaReport:
         """Return a report for all instances: what changed since the last one for all."""
-        for usage in self._usage.values():
+        for name, usage in list(self._usage.items()):
             usage.remove_empty_counts(now_ms)
+            # Own requests stay, for a report counts all since the start.
+            if name not in self._teams and not usage.counts and not usage.admitted:
+                del self._usage[name]
         counts: list[tuple[str, float]] = []
         for name, usage in self._limit_bytes(lambda usage: usage.admitted != usage.reported):
             usage.reported = usage.reported_in_use = usage.admitted
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -12,7 +12,7 @@
 
 from citronpaddle.adapters.hintchannel import MAX_DATAGRAM_BYTES, PeerMessage, decode, encode
 from citronpaddle.policy.catalog import Team
-from citronpaddle.policy.quota import MAX_REPORT_BYTES, QuotaLimits, Quotas
+from citronpaddle.policy.quota import MAX_REPORT_BYTES, MAX_UNKNOWN_TEAMS, QuotaLimits, Quotas
 from citronpaddle.policy.quotapeers import QuotaReport
 
 TEAM = Team("alder", None, 10.0, 10.0)
@@ -209,6 +209,31 @@
     assert quotas.describe(TEAM, 9_000.0).known == 0.0
 
 
+def test_requests_of_a_team_that_others_know_first_count():
+    """Guards against a new team that gets its quota at each instance as it learns of the team."""
+    quotas = make_alone()
+    new = TEAM._replace(name="birch")
+    for count in (5.0, 30.0, 80.0):
+        uptime_ms = 8_000.0 + 10 * count
+        quotas.apply("i1", QuotaReport("2", uptime_ms, (("birch", count),)), 1_000.0 + uptime_ms)
+    quotas.set_teams({"alder": TEAM, "birch": new})
+    admitted = sum(quotas.admit(new, 9_900.0) == 0.0 for _ in range(100))
+    assert 75.0 + admitted <= LIMITS.compute_ceiling(new)
+
+
+def test_reported_teams_that_are_not_configured_take_bounded_memory():
+    """Guards against reports that name ever more teams, and counts of teams that are gone."""
+    quotas = make_alone()
+    for number in range(3 * MAX_UNKNOWN_TEAMS):
+        report = QuotaReport("2", 8_000.0 + number, ((f"t{number}", 0.0),))
+        quotas.apply("i1", report, 9_000.0 + number)
+        report = QuotaReport("2", 8_000.0 + number, ((f"t{number}", 2.0),))
+        quotas.apply("i1", report, 9_000.0 + number)
+    assert len(quotas._usage) <= MAX_UNKNOWN_TEAMS
+    quotas.make_wide_report(60_000.0)
+    assert not quotas._usage
+
+
 def test_reports_fit_a_datagram_and_survive_encoding():
     """Guards against counts that do not fit a datagram, and against a codec that drops any."""
     quotas = make_alone()
