State plainly what the parts of quotas and roll-outs record

Cause: some comments used figures of speech (a version that hides, a burst that spoils calls), or did not say which of two sources a field has; a docstring contradicted its condition, and two constants were named as the concurrency of paced upstreams is.

Change: comments, docstrings, and TRIAL_SHARE in place of TRIAL_PACE. No change of behaviour.

Run: the unit tests of exposure and judgement in tests/test_rollouts.py.

--- a/citronpaddle/policy/exposure.py
+++ b/citronpaddle/policy/exposure.py
@@ -15,9 +15,9 @@
 # Share of the fixed number that may be used at once. The rest becomes available evenly over the
 # roll-out, so that a version that turns bad late is still called on a service with little load.
 FIRST_SLACK = 0.3
-# The pace of a trial as a share of the calls allowed. The rest is saved for the move, which puts
-# the version under the full load before the other versions stop.
-TRIAL_PACE = 0.4
+# Share of the calls allowed that a trial uses. The rest is saved for the move, which puts the
+# version under the full load before the other versions stop.
+TRIAL_SHARE = 0.4
 
 
 class ExposureLimits(NamedTuple):
@@ -48,6 +48,6 @@
         `elapsed_share` is the share of the roll-out's time that has passed.
         """
         slack = self._slack * min(1.0, FIRST_SLACK + (1.0 - FIRST_SLACK) * elapsed_share)
-        pace = 1.0 if is_moving else TRIAL_PACE
-        allowed = slack + USED_SHARE * pace * self._limits.share * self.answered
+        used_share = USED_SHARE * (1.0 if is_moving else TRIAL_SHARE)
+        allowed = slack + used_share * self._limits.share * self.answered
         return self.sent + 1 <= allowed + self._rounding
--- a/citronpaddle/policy/judgement.py
+++ b/citronpaddle/policy/judgement.py
@@ -1,8 +1,8 @@
 """Judges a new version of a service by the calls to it and to the other versions.
 
 Calls are compared only within a stratum: the same span of time, route and distance. A burst or an
-outage spoils the calls to all versions alike and so says nothing about the new one. The comparison
-over all strata is the test of Cochran, Mantel and Haenszel, one-sided.
+outage affects the calls to all versions alike, so that it is no evidence. The comparison over all
+strata is the test of Cochran, Mantel and Haenszel, one-sided.
 """
 
 from collections.abc import Iterable
@@ -10,17 +10,15 @@
 from typing import NamedTuple
 
 # Length of a span, and the number of spans for which calls are kept. Bursts and outages last a few
-# seconds; a version that turns bad must not hide behind minutes in which it was good.
+# seconds; over minutes, good results would outweigh those of a version that turns bad.
 SPAN_MS = 1_000.0
 MAX_SPANS = 32
 # The newest spans are also judged alone, to find a version that has just turned bad.
 RECENT_SPANS = 6
 # Calls to other versions that a stratum needs; with fewer, those of the adjacent spans are added.
 MIN_OTHER_CALLS = 3
-
-
-# A burst or an outage that begins within a span spoils more of the later calls in it, and these may
-# by chance be the target's. So a version is bad only if several spans show it, each by this much.
+# The spans that have to show a fault, each by this excess of bad calls. A burst or an outage that
+# begins within a span affects the later calls in it, of which by chance more may be the target's.
 MIN_BAD_SPANS = 2
 MIN_SPAN_EXCESS = 0.5
 
@@ -153,7 +151,10 @@
 
 
 class Thresholds(NamedTuple):
-    """A version is bad from these numbers on, all of them; `score` in standard deviations."""
+    """The least numbers for a bad version, which has to reach all; `score` in standard deviations.
+
+    `bad` counts calls, `difference` is that of the shares of bad calls.
+    """
 
     bad: int
     score: float
--- a/citronpaddle/policy/quotapeers.py
+++ b/citronpaddle/policy/quotapeers.py
@@ -1,4 +1,4 @@
-"""What this instance knows of the others that admit requests of the same teams.
+"""The other instances that admit requests of the same teams, by their latest reports.
 
 Every instance reports how many requests of each team it has admitted since its start. A report also
 states the time since that start, from which the receiver computes how long the report has waited on
@@ -15,7 +15,7 @@
 START_MS = 2_000.0
 # The shortest way of a report is measured over one to two such spans, since clocks drift.
 DELAY_SPAN_MS = 60_000.0
-# No instance counts further than this: a larger value is malformed.
+# Counts and times (ms) of a report that are as large are malformed.
 MAX_COUNT = 1e15
 
 
@@ -46,7 +46,7 @@
 
     def __init__(self, now_ms: float) -> None:
         self.incarnation = ""
-        # As this instance supposes, and as the other one states.
+        # Whether it is in use: by the list of instances, and by its own reports.
         self.is_expected = False
         self.is_in_use = False
         self._is_receiving = True
@@ -150,8 +150,8 @@
     def list_in_use(self, now_ms: float) -> list[str]:
         """Return the names of the instances in use, those that are cut off included.
 
-        An instance knows best whether it is in use. Shortly after the own start, those that are
-        expected to be in use count too; later one of them would have reported.
+        What an instance reports of itself takes precedence. Those that are expected to be in use,
+        and have not reported, count only shortly after the start, or if no instance has reported.
         """
         is_starting = now_ms - self._started_ms < START_MS
         is_alone = not any(peer.incarnation for peer in self._peers.values())
--- a/citronpaddle/policy/versions.py
+++ b/citronpaddle/policy/versions.py
@@ -119,7 +119,7 @@
         self._record(upstream, route, True)
 
     def record_abandoned(self, upstream: Upstream, route: str, now_ms: float) -> None:
-        # As slow as it is, a cold upstream is expected to be.
+        # A cold upstream is expected to be slow.
         if upstream.cold_until_ms <= now_ms:
             self._record(upstream, route, True)
 
--- a/citronpaddle/teamquotas.py
+++ b/citronpaddle/teamquotas.py
@@ -85,7 +85,7 @@
     def review(self, in_use: Collection[str], addresses: Mapping[str, Address]) -> None:
         """Send a report if it is due.
 
-        `in_use` are the instances that callers are supposed to be sent to; `addresses` are those of
+        `in_use` are the instances that callers are sent to, as far as is known; `addresses` are of
         all other instances.
         """
         now_ms = self._clock.now_ms()
