Forget a refused order some time after it was removed

Cause: an order that cannot be followed bars the version that it names. The version stayed barred when the order was removed, until a valid order or a restart, so that running instances and those started later differed.

Change: 10 s after the removal, as for other orders, the version gets calls again; a new order within that time cancels this.

Result: the new test failed before (no call to the version) and passes. Run: the tests of malformed orders in tests/test_rollouts.py.

--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -92,6 +92,8 @@
         self._has_work = asyncio.Event()
         self._writer = RolloutWriter(settings.name, clock, store, codec, log, counts)
         self._writes: dict[tuple[str, str], asyncio.Task] = {}
+        # The timers that end the effect of refused orders that were removed, by service.
+        self._releases: dict[str, asyncio.TimerHandle] = {}
 
     @property
     def running(self) -> int:
@@ -145,10 +147,16 @@
     def _apply_order(self, service: str, item: StoreItem) -> None:
         shared = self._find_shared(service)
         run = self._runs.get(service)
+        if (release := self._releases.pop(service, None)) is not None:
+            release.cancel()
         if item.value is None:
             shared.order_revision = 0
             if run is not None:
                 run.withdrawn_ms = self._clock.now_ms()
+            if service in self.routing.barred:
+                self._releases[service] = asyncio.get_running_loop().call_later(
+                    WITHDRAWAL_MS / 1_000, self.routing.barred.pop, service, None
+                )
             return
         order = self._codec.decode_order(service, item.value)
         if isinstance(order, InvalidOrder):
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -7,7 +7,7 @@
 from rolloutworld import BASE_MS, NEW, OLD, Load, Result, RolloutWorld, run_world
 from test_fleet import make_entry
 
-from citronpaddle.platform.rollouts import PlatformRolloutCodec
+from citronpaddle.platform.rollouts import ORDER_PREFIX, PlatformRolloutCodec
 from citronpaddle.policy.exposure import Exposure, ExposureLimits
 from citronpaddle.policy.judgement import (
     MAX_SPANS,
@@ -308,6 +308,22 @@
     run_world(scenario, vary(), count=3)
 
 
+def test_removed_malformed_order_is_forgotten():
+    """Guards against a version that gets no calls for as long as an instance runs. Load: steady."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.write_order(duration_s=-3)
+        await world.play(4, 60)
+        world.start_new()
+        world.store.write(ORDER_PREFIX + "s0", None)
+        await world.play(6, 60)
+        assert not any(one.version == NEW for one in world.sent)
+        await world.play(12, 60)
+        assert any(one.version == NEW for one in world.sent)
+
+    run_world(scenario, vary(), count=3)
+
+
 @pytest.mark.parametrize("version", [NEW, "v3"])
 def test_malformed_order_leaves_the_one_before_in_force(version):
     """Guards against a roll-out that never ends, as its writes conflict with the newer order."""
