Look at the shares of a quota only while instances are cut off

Cause: each request of a team with a quota listed the instances in use a second time, for shares that are kept free only for instances that are cut off.

Change: without any, no share is computed. No change of behaviour.

--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -428,8 +428,10 @@
         return max(1.0, self.limits.compute_quota(team) + slack)
 
     def _describe(self, usage: _TeamUsage, team: Team, now_ms: float) -> QuotaState:
-        ceiling = self._compute_ceiling(team, is_cut=True)
         cut_off = self._peers.list_cut_off(now_ms)
+        if not cut_off:
+            return QuotaState(usage.count_all(now_ms), 0.0, 0)
+        ceiling = self._compute_ceiling(team, is_cut=True)
         share = self._compute_share(now_ms)
         reserved = sum(
             max(0.0, share * ceiling - usage.count(incarnation, now_ms)) for incarnation in cut_off
