Drop the counts of a roll-out when it has ended

Cause: each instance kept the last counts of all others for as long as it ran: 32 spans by route and distance, from each instance.

Change: they are dropped once the end has been read; the log line of the decision takes its sums before that.

--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -254,6 +254,8 @@
         if shared.status.state is not rollout.state:
             rollout.state = shared.status.state
             self._log_progress(run, rollout.state.value)
+        if progress is Progress.ENDED:
+            shared.reports.clear()
 
     def _log_progress(self, run: RolloutRun, progress: str) -> None:
         self._counts.add("rollouts", progress)
--- a/citronpaddle/rolloutwrites.py
+++ b/citronpaddle/rolloutwrites.py
@@ -66,6 +66,8 @@
         writes = self._make_writes(run, decision.step)
         deletes = self._list_counts_keys(service, shared) if is_end else []
         first = deletes[: MAX_TRANSACTION_ENTRIES - len(preconditions) - len(writes)]
+        # The end, which drops the counts of others, may be read before the answer.
+        total = run.rollout.merge_tallies(span).sum()
         result = await self._store.commit(tuple(preconditions), tuple(writes), tuple(first))
         is_failure = isinstance(result, StoreFailure)
         held_ms = RETRY_MS if is_failure else SETTLE_MS
@@ -78,7 +80,7 @@
             step=decision.step.value,
             reason=decision.reason,
             result=result.reason if is_failure else type(result).__name__.lower(),
-            **run.rollout.merge_tallies(span).sum()._asdict(),
+            **total._asdict(),
         )
         if isinstance(result, Conflict):
             self._counts.add("rollouts", "conflict")
