--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -7,12 +7,12 @@
 import math
 
 import pytest
-from gatewayworld import SINGLE_ROUTE, list_executed, run_scenario
+from gatewayworld import FANOUT_ROUTE, SINGLE_ROUTE, list_executed, run_scenario
 from quotaworld import LIMITS, QuotaWorld
 
 from citronpaddle.adapters.hintchannel import MAX_DATAGRAM_BYTES, PeerMessage, decode, encode
 from citronpaddle.policy.catalog import Team
-from citronpaddle.policy.quota import MAX_REPORT_BYTES, QuotaLimits, Quotas
+from citronpaddle.policy.quota import MAX_REPORT_BYTES, MAX_UNKNOWN_TEAMS, QuotaLimits, Quotas
 from citronpaddle.policy.quotapeers import QuotaReport
 
 TEAM = Team("alder", None, 10.0, 10.0)
@@ -209,6 +209,31 @@
     assert quotas.describe(TEAM, 9_000.0).known == 0.0
 
 
+def test_requests_of_a_team_that_others_know_first_count():
+    """Guards against a new team that gets its quota at each instance as it learns of the team."""
+    quotas = make_alone()
+    new = TEAM._replace(name="birch")
+    for count in (5.0, 30.0, 80.0):
+        uptime_ms = 8_000.0 + 10 * count
+        quotas.apply("i1", QuotaReport("2", uptime_ms, (("birch", count),)), 1_000.0 + uptime_ms)
+    quotas.set_teams({"alder": TEAM, "birch": new})
+    admitted = sum(quotas.admit(new, 9_900.0) == 0.0 for _ in range(100))
+    assert 75.0 + admitted <= LIMITS.compute_ceiling(new)
+
+
+def test_reported_teams_that_are_not_configured_take_bounded_memory():
+    """Guards against reports that name ever more teams, and counts of teams that are gone."""
+    quotas = make_alone()
+    for number in range(3 * MAX_UNKNOWN_TEAMS):
+        report = QuotaReport("2", 8_000.0 + number, ((f"t{number}", 0.0),))
+        quotas.apply("i1", report, 9_000.0 + number)
+        report = QuotaReport("2", 8_000.0 + number, ((f"t{number}", 2.0),))
+        quotas.apply("i1", report, 9_000.0 + number)
+    assert len(quotas._usage) <= MAX_UNKNOWN_TEAMS
+    quotas.make_wide_report(60_000.0)
+    assert not quotas._usage
+
+
 def test_reports_fit_a_datagram_and_survive_encoding():
     """Guards against counts that do not fit a datagram, and against a codec that drops any."""
     quotas = make_alone()
@@ -261,3 +286,25 @@
         assert (await setup.ask(headers=headers))[0] == 200
 
     run_scenario(scenario)
+
+
+def test_failed_query_that_some_shards_ran_keeps_its_token():
+    """Guards against a quota that is exceeded by queries for which only some shards have room."""
+
+    async def scenario(setup):
+        teams = [{"name": "birch", "api_keys": ["key-3"], "rate_per_s": 0.01}]
+        setup.platform.configure([FANOUT_ROUTE | {"min_shard_ratio": 1.0}], tenants=teams)
+        await setup.wait_for_configuration()
+
+        def reject(request, connection) -> bool:
+            connection.reply(503, {"Citronpaddle-Not-Executed": "1"}, b"")
+            return True
+
+        setup.platform.upstreams["c"].answer = reject
+        headers = ["Authorization: Token key-3"]
+        # Not 503, which would state that no shard has run it.
+        assert (await setup.ask(path="/q/x", headers=headers))[0] == 502
+        assert list_executed(setup)
+        assert (await setup.ask(path="/q/x", headers=headers, attempt="t2"))[0] == 429
+
+    run_scenario(scenario)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -9,7 +9,14 @@
 
 from citronpaddle.platform.rollouts import PlatformRolloutCodec
 from citronpaddle.policy.exposure import Exposure, ExposureLimits
-from citronpaddle.policy.judgement import RUNNING_THRESHOLDS, CallCounts, Stratum, Tally, find_fault
+from citronpaddle.policy.judgement import (
+    MAX_SPANS,
+    RUNNING_THRESHOLDS,
+    CallCounts,
+    Stratum,
+    Tally,
+    find_fault,
+)
 from citronpaddle.policy.rollout import Decision, Rollout, RolloutOrder, RolloutState, Step
 from citronpaddle.randomness import RandomSource
 from citronpaddle.rolloutstate import InvalidOrder
@@ -301,6 +308,26 @@
     run_world(scenario, vary(), count=3)
 
 
+def test_counts_are_dropped_when_the_roll_out_has_ended():
+    """Guards against counts of all instances that stay in the memory of each. Load: steady."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.write_order(duration_s=8)
+        world.start_new()
+        await world.play(6, 60)
+        shared = [instance.rollouts._shared["s0"] for instance in world.instances.values()]
+        assert all(one.reports for one in shared)
+        await world.play(8, 60)
+        assert world.read_status() == SUCCEEDED
+        assert not any(one.reports for one in shared)
+        ends = [
+            run.rollout for one in world.instances.values() for run in one.rollouts._runs.values()
+        ]
+        assert not any(rollout.peer_tallies for rollout in ends)
+
+    run_world(scenario, vary(), count=3)
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"\xff", b"[]", b"{}", b'{"target_version":""}', b"[" * 9_999]
 )
@@ -366,11 +393,22 @@
     assert find_fault(tally, 8, RUNNING_THRESHOLDS).scope == "all routes"
 
 
+def make_rollout() -> Rollout:
+    return Rollout(RolloutOrder("s0", NEW, 1_000.0), Exposure(ExposureLimits(0.1, 5.0), 1.0, 0.5))
+
+
+def test_trial_without_calls_to_the_target_keeps_no_old_counts():
+    """Guards against memory that grows as long as an order waits for upstreams of its version."""
+    rollout = make_rollout()
+    for span in range(10 * MAX_SPANS):
+        rollout.record_answer(make_upstream("a", version=OLD), Stratum(span, "r", False), False)
+        rollout.judge(span)
+    assert len(rollout.tally.list_rows()) <= MAX_SPANS
+
+
 def test_old_upstreams_get_no_calls_after_success():
     """Guards against calls to upstreams that have stopped, and against losing later versions."""
-    rollout = Rollout(
-        RolloutOrder("s0", NEW, 1_000.0), Exposure(ExposureLimits(0.1, 5.0), 1.0, 0.5)
-    )
+    rollout = make_rollout()
     rollout.other_versions = {OLD}
     rollout.state = RolloutState.SUCCEEDED
     upstreams = tuple(make_upstream(name, version=name) for name in (OLD, NEW, "v3"))
