Name the parts of sharing by their usual terms

Cause: _Pace in sharing meant another thing than the pace of an upstream; owed and hopeless are no terms of the field.

Change: _StartRate, underserved and late in their place. No behaviour changes.

--- a/citronpaddle/policy/servedcounts.py
+++ b/citronpaddle/policy/servedcounts.py
@@ -1,4 +1,4 @@
-"""Counts of parts that were served and refused, to find priorities and teams that starve.
+"""Counts of parts that were served and refused, to find priorities and teams that are underserved.
 
 Times are in ms on one monotonic clock.
 """
@@ -36,7 +36,7 @@
         for key in _list_groups(demand):
             self._refused[key] += 1.0
 
-    def is_owed(self, demand: Demand) -> bool:
+    def is_underserved(self, demand: Demand) -> bool:
         """Return whether its priority or its team is served much less often than all."""
         everything, *groups = _list_groups(demand)
         least = MIN_SERVED_SHARE * self._compute_served_share(everything)
--- a/citronpaddle/policy/sharing.py
+++ b/citronpaddle/policy/sharing.py
@@ -1,4 +1,4 @@
-"""Orders the parts of requests that wait for room at a service, and refuses hopeless ones.
+"""Orders the parts of requests that wait for room at a service, and refuses those too late.
 
 A service is congested while a part waits for room at its upstreams, or while its upstreams reject
 calls for lack of capacity. First calls to it then start in order of priority; teams of equal
@@ -35,7 +35,7 @@
 _MIN_RETRY_MS = 100.0
 _MAX_RETRY_MS = 2_000.0
 # Rank of a part of a priority or team that has been refused much more often than the others.
-_OWED_RANK = 0
+_UNDERSERVED_RANK = 0
 _USUAL_RANK = 1
 
 # A priority and a team.
@@ -87,7 +87,7 @@
         return self.order[2]
 
 
-class _Pace:
+class _StartRate:
     """How often waiting parts start."""
 
     __slots__ = ("_starts", "_waited_ms", "started_ms")
@@ -122,8 +122,8 @@
         self._answer_ms = 0.0
         # When parts began to wait.
         self._busy_since_ms = 0.0
-        self._pace = _Pace()
-        self._paces: dict[_Group, _Pace] = {}
+        self._start_rate = _StartRate()
+        self._start_rates: dict[_Group, _StartRate] = {}
         # Virtual start time by priority, and the finish time of the last part by priority and team.
         self._virtual_start: dict[int, float] = {}
         self._virtual_finish: dict[_Group, float] = {}
@@ -144,13 +144,13 @@
             # The start of a busy period: no team is ahead of its share yet.
             self._virtual_start.clear()
             self._virtual_finish.clear()
-            self._paces.clear()
+            self._start_rates.clear()
             self._busy_since_ms = now_ms
         if self.counts is None:
             self.counts = ServedCounts()
         demand = ticket.demand
         self.counts.record_arrival(demand, now_ms)
-        rank = _OWED_RANK if self.counts.is_owed(demand) else _USUAL_RANK
+        rank = _UNDERSERVED_RANK if self.counts.is_underserved(demand) else _USUAL_RANK
         start = max(
             self._virtual_start.get(demand.priority, 0.0),
             self._virtual_finish.get(ticket.group, 0.0),
@@ -173,8 +173,10 @@
         self._virtual_start[priority] = max(
             self._virtual_start.get(priority, 0.0), ticket.virtual_start
         )
-        self._pace.record_start(ticket.joined_ms, now_ms)
-        self._paces.setdefault(ticket.group, _Pace()).record_start(ticket.joined_ms, now_ms)
+        self._start_rate.record_start(ticket.joined_ms, now_ms)
+        self._start_rates.setdefault(ticket.group, _StartRate()).record_start(
+            ticket.joined_ms, now_ms
+        )
 
     def record_answer(self, latency_ms: float) -> None:
         """Record how long an answer took."""
@@ -183,7 +185,7 @@
         else:
             self._answer_ms = latency_ms
 
-    def refuse_hopeless(self, now_ms: float) -> list[Ticket]:
+    def refuse_late(self, now_ms: float) -> list[Ticket]:
         """Remove and return the parts whose answer would come too late."""
         interval_ms = self._estimate_interval_ms(now_ms)
         kept: list[Ticket] = []
@@ -192,9 +194,9 @@
         last_kept: dict[_Group, Ticket] = {}
         for ticket in self.waiting:
             group = ticket.group
-            # Others may still come before a team that is ahead of its share: its own pace counts.
-            pace = self._paces.get(group)
-            own_wait_ms = kept_by_team[group] * pace.interval_ms if pace else 0.0
+            # Others may still come before a team that is ahead of its share: its own rate counts.
+            start_rate = self._start_rates.get(group)
+            own_wait_ms = kept_by_team[group] * start_rate.interval_ms if start_rate else 0.0
             wait_ms = max(len(kept) * interval_ms, own_wait_ms)
             left_ms = self._find_end_ms(ticket, now_ms) - now_ms - self._answer_ms
             # Without an open call the answer time may be outdated; the next part measures it.
@@ -223,9 +225,11 @@
     def _estimate_interval_ms(self, now_ms: float) -> float:
         """Return the interval between starts, or for how long none has started against it."""
         # Calls that are open end within an answer time, and then parts start.
-        stalled_ms = now_ms - max(self._pace.started_ms, self._busy_since_ms) - self._answer_ms
+        stalled_ms = (
+            now_ms - max(self._start_rate.started_ms, self._busy_since_ms) - self._answer_ms
+        )
         expected_ms = self._answer_ms / max(1, self.open_calls)
-        return max(self._pace.interval_ms or expected_ms, stalled_ms)
+        return max(self._start_rate.interval_ms or expected_ms, stalled_ms)
 
     def _find_end_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return until when an answer is worth its room."""
@@ -278,7 +282,7 @@
         state = self._get_or_create(service)
         ticket = Ticket(service, demand, now_ms, min(in_time_ms, end_ms), end_ms, wake)
         state.add(ticket, next(self._sequence), now_ms)
-        self._refuse_hopeless(state, now_ms)
+        self._refuse_late(state, now_ms)
         return ticket
 
     def is_turn(self, ticket: Ticket, now_ms: float) -> bool:
@@ -291,7 +295,7 @@
         state = self._services[ticket.service]
         state.remove(ticket)
         state.record_start(ticket, now_ms)
-        self._refuse_hopeless(state, now_ms)
+        self._refuse_late(state, now_ms)
         _wake_next(state)
 
     def leave(self, ticket: Ticket) -> None:
@@ -343,8 +347,8 @@
             state = self._services[service] = _Service()
         return state
 
-    def _refuse_hopeless(self, state: _Service, now_ms: float) -> None:
-        refused = state.refuse_hopeless(now_ms)
+    def _refuse_late(self, state: _Service, now_ms: float) -> None:
+        refused = state.refuse_late(now_ms)
         for ticket in refused:
             ticket.wake()
         if refused:
