Choose no upstreams for a query that is refused already

Cause: a query that had no room at too many shards still chose upstreams for the others. These calls were dropped, but had taken the permits of rate-limited and cold upstreams, and cost a choice for each shard.

Change: no call is chosen once the minimum coverage is out of reach.

--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -159,8 +159,12 @@
             if listed == 0 or not self._meets_min_coverage(listed):
                 self.outcome = Refused("too_few_shards", RETRY_UNLISTED_MS)
                 return actions
+        for part in self._parts:
+            self._dependencies.extra_load.record_request(part.service, now_ms)
         for index in range(len(self._parts)):
-            self._dependencies.extra_load.record_request(self._parts[index].service, now_ms)
+            # Calls that are chosen here take permits, even if the outcome then makes them unneeded.
+            if not self._can_reach_min_coverage():
+                break
             self._start_call(index, now_ms, FIRST_CALL, actions)
         self._update_outcome(now_ms)
         return self._drop_unneeded_sends(actions, now_ms)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -278,6 +278,8 @@
     (refused,) = [one for one in ended if one.arrival.route is query]
     assert refused.outcome.reason == "no_room" and refused.took_ms == 0.0
     assert "s2" not in {call.upstream.service for _, call in simulation.calls}
+    # Nor does it take the permits of upstreams that it does not call.
+    assert simulation.selector.count_calls()[0] == len(simulation.calls)
 
 
 def test_place_of_a_lost_request_is_given_up_at_its_deadline():
