Count answers that callers do not read

Cause: the memory that callers may hold did not include answers that they do not read. Each connection could keep one, of any size.

Change: what a transport could not write counts while writing is paused. Over the limit, idle connections with unread answers are given up like requests that are being read, and aborted, since closing would keep the rest.

Result: the first test failed before (10.0 MB kept, 1.0 MB allowed).

--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -114,9 +114,11 @@
 
     def pause_writing(self) -> None:
         self._is_writing_paused = True
+        self._hold()
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
+        self._hold()
         self._parse_rest()
 
     def data_received(self, data: bytes) -> None:
@@ -258,6 +260,8 @@
     def _hold(self) -> None:
         """Count the memory that is held for the request, beyond what every connection needs."""
         held = self._in_progress_bytes + len(self._unparsed)
+        if self._is_writing_paused:
+            held += self._transport.get_write_buffer_size()
         if self._read_start_ms is not None and not self._in_progress_bytes:
             held += self._sizes.count_held(len(self._headers))
         if held > UNCOUNTED_BYTES or self._held_bytes:
@@ -324,14 +328,14 @@
             self._close()
 
     def describe(self) -> Standing:
-        releasable = len(self._unparsed)
+        releasable = self._held_bytes
         if self.is_busy:
             phase, since_ms = Phase.IN_PROGRESS, self._idle_since_ms
+            releasable = len(self._unparsed)
         elif self._read_start_ms is None:
             phase, since_ms = Phase.IDLE, self._idle_since_ms
         else:
             phase, since_ms = Phase.READING, self._read_start_ms
-            releasable = self._held_bytes
         return Standing(self, phase, since_ms, releasable, self._has_completed)
 
     def give_up(self, reason: LimitReason) -> None:
@@ -345,6 +349,9 @@
         else:
             self._intake.record(reason)
             self._close()
+            if self._is_writing_paused:
+                # Its caller does not read the last answer, so closing would keep the rest of it.
+                self._transport.abort()
 
     def _stop_reading(self) -> None:
         """Drop what follows the request in progress; its answer closes the connection."""
