Queue for room only where callers have teams

Cause: the queues of services also ordered and refused requests of deployments without teams, which are to be served as before. An error in the delivery of an outcome left its caller without an answer.

Change: without teams in the configuration nothing is queued. An error in the delivery is logged and answered with 502, as one at the arrival is.

Result: the tests of sharing, exchanges, teams, quotas, callers and the gateway pass; the delivery has no test of its own.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -145,6 +145,7 @@
             self._quotas,
             self._forwarder,
             self._request_log,
+            self.log_error,
         )
         self._store_follower = StoreFollower(
             clock,
@@ -357,6 +358,7 @@
         self._quotas.set_catalog(self.state.catalog)
         self._peering.review()
         if self.state.catalog is not None:
+            self._sharing.is_enabled = self.state.catalog.has_teams
             self._request_server.retain_routes(self.state.catalog.routes)
 
     def _create_rollouts(self, store: StateStore, codec: RolloutCodec) -> RolloutRunner | None:
--- a/citronpaddle/policy/partqueue.py
+++ b/citronpaddle/policy/partqueue.py
@@ -52,8 +52,8 @@
         return False
 
     def join(self, part: Part, now_ms: float) -> None:
-        """Queue a part, unless it waits already."""
-        if part.ticket is None:
+        """Queue a part, unless it waits already or nothing is queued."""
+        if part.ticket is None and self._sharing.is_enabled:
             part.ticket = self._sharing.join(
                 part.service,
                 self._demand,
--- a/citronpaddle/policy/sharing.py
+++ b/citronpaddle/policy/sharing.py
@@ -254,16 +254,20 @@
 
 
 class Sharing:
-    """The queues of all services at this instance."""
+    """The queues of all services at this instance.
 
-    def __init__(self) -> None:
+    They are used if `is_enabled`: without teams there is nothing to share between.
+    """
+
+    def __init__(self, is_enabled: bool = False) -> None:
+        self.is_enabled = is_enabled
         self._services: dict[str, _Service] = {}
         self._sequence = itertools.count()
 
     def is_congested(self, service: str, now_ms: float) -> bool:
         """Return whether first calls to `service` must queue."""
         state = self._services.get(service)
-        return state is not None and state.is_congested(now_ms)
+        return self.is_enabled and state is not None and state.is_congested(now_ms)
 
     def join(
         self,
@@ -332,6 +336,8 @@
 
     def record_rejection(self, service: str, now_ms: float) -> None:
         """Record that several upstreams of `service` have rejected a part in a row."""
+        if not self.is_enabled:
+            return
         state = self._get_or_create(service)
         state.limit.record_rejection(state.open_calls, now_ms)
 
--- a/citronpaddle/serving.py
+++ b/citronpaddle/serving.py
@@ -1,6 +1,6 @@
 """Serves callers' requests: admits or denies them, and starts the exchanges of those admitted."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from .adapters.callerconnections import CallerConnection
@@ -53,7 +53,9 @@
         quotas: TeamQuotas,
         forwarder: Forwarder,
         request_log: RequestLog,
+        log_error: Callable[[BaseException], None],
     ) -> None:
+        self._log_error = log_error
         self._clock = clock
         self._random = random
         self._codec = codec
@@ -150,10 +152,15 @@
         runner: ExchangeRunner | None = None
 
         def deliver(outcome: Outcome) -> None:
-            connection.answer(self._codec.make_answer(routed, outcome))
-            if isinstance(outcome, Refused):
-                self._quotas.give_back(team, admitted_ms)
-            self._request_log.record_outcome(routed, version, outcome, runner)
+            try:
+                connection.answer(self._codec.make_answer(routed, outcome))
+                if isinstance(outcome, Refused):
+                    self._quotas.give_back(team, admitted_ms)
+                self._request_log.record_outcome(routed, version, outcome, runner)
+            except Exception as error:
+                # Without an answer the caller would wait until its deadline.
+                self._log_error(error)
+                connection.answer_and_close(HttpAnswer(502, (), b"internal error"))
 
         runner = self._forwarder.create_runner(routed, deliver)
         runner.start()
--- a/tests/exchanges.py
+++ b/tests/exchanges.py
@@ -135,7 +135,7 @@
             RouteLatencies(),
             itertools.count(1),
             self.hints,
-            Sharing(),
+            Sharing(is_enabled=True),
         )
         self.calls: list[tuple[float, Call]] = []
         self.cancelled: list[Call] = []
