Use the upstreams in service after a malformed order names them

Cause: an order that cannot be followed bars the version that it names. Where it named the version that a running or failed roll-out was to replace, no upstream in use got calls and nearly all requests were refused.

Change: only a version that the roll-out before does not know is barred.

Result: the new test failed for both states before and passes. Run: tests/test_rollout_input.py.

--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -174,12 +174,13 @@
     def _refuse_order(self, service: str, order: InvalidOrder) -> None:
         """Log an order that cannot be followed; the one before it stays in force.
 
-        The version that it names gets no calls: nobody would bound or judge them.
+        A new version that it names gets no calls: nobody would bound or judge them.
         """
         run = self._runs.get(service)
-        if order.target_version is not None and (
-            run is None or run.order.target_version != order.target_version
-        ):
+        known = (
+            {run.order.target_version, *run.rollout.other_versions} if run is not None else set()
+        )
+        if order.target_version is not None and order.target_version not in known:
             self.routing.barred[service] = order.target_version
         self._counts.add("rollouts", "refused")
         self._log.write(
--- a/tests/test_rollout_input.py
+++ b/tests/test_rollout_input.py
@@ -1,7 +1,7 @@
 """Roll-outs with orders that cannot be followed, and with counts that other writers have left."""
 
 import pytest
-from rolloutworld import NEW, RolloutWorld, run_world
+from rolloutworld import NEW, OLD, RolloutWorld, run_world
 from test_rollouts import SUCCEEDED, vary
 
 from citronpaddle.platform.rollouts import ORDER_PREFIX
@@ -46,3 +46,21 @@
     """Guards against a judgement that fails, again and again, on what another writer has left."""
     value = f'{{"target_version":"v2","duration_ms":1.0,"rows":[[7,"r",false,{counts[1:-1]}]]}}'
     assert decode_report(value.encode()) is None
+
+
+@pytest.mark.parametrize("state", ["running", "rolled_back"])
+def test_malformed_order_for_the_version_in_use_takes_no_upstreams(state):
+    """Guards against refusing nearly all requests, as the upstreams in use get no calls."""
+
+    async def scenario(world: RolloutWorld) -> None:
+        world.write_order(duration_s=20)
+        if state == "running":
+            world.start_new()
+        await world.play(4 if state == "running" else 24, 60)
+        world.start_new()
+        assert world.read_status() == (state, NEW)
+        world.write_order(OLD, duration_s=-3)
+        await world.play(5, 60)
+        assert not world.refused
+
+    run_world(scenario, vary(), count=3)
