--- a/citronpaddle/policy/catalog.py
+++ b/citronpaddle/policy/catalog.py
@@ -114,6 +114,10 @@
         """Return the team that holds `key`, or None for an unknown or withdrawn key."""
         return (self._teams_by_key or {}).get(key)
 
+    def find_team_by_name(self, name: str) -> Team | None:
+        """Return the team of that name, or None if there is none that holds a key."""
+        return next((team for team in self.teams if team.name == name), None)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path` at `host`, or None.
 
--- a/citronpaddle/policy/latencies.py
+++ b/citronpaddle/policy/latencies.py
@@ -41,6 +41,12 @@
             window = self._windows[route.name] = LatencyWindow(SAMPLE_WINDOW_MS)
         window.add(now_ms, latency_ms)
 
+    def get_late_threshold_ms(self, route: Route) -> float:
+        """Return the late threshold found last, or the initial one, without any change."""
+        cached = self._cached_thresholds.get(route.name)
+        initial_ms = max(MIN_LATE_MS, INITIAL_LATE_SHARE * route.objective_ms)
+        return cached[1] if cached is not None else initial_ms
+
     def find_late_threshold_ms(self, route: Route, now_ms: float) -> float:
         """Return the age in ms from which a call of `route` counts as late."""
         cached = self._cached_thresholds.get(route.name)
--- a/citronpaddle/policy/pace.py
+++ b/citronpaddle/policy/pace.py
@@ -4,8 +4,8 @@
 on one monotonic clock; slowness is a latency as a multiple of the baseline of its service's route.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import NamedTuple
 
@@ -71,6 +71,20 @@
     def __len__(self) -> int:
         return sum(1 for pace in self._paces.values() if pace.concurrency is not None)
 
+    def copy_for(self, upstream_ids: Iterable[str]) -> "Paces":
+        """Return a copy with the paces of some upstreams, which reports no changes."""
+        copied = Paces()
+        copied._share = self._share
+        copied._paces = {
+            name: replace(self._paces[name]) for name in upstream_ids if name in self._paces
+        }
+        return copied
+
+    def get_concurrency(self, upstream_id: str) -> float | None:
+        """Return the calls that all instances are to have in progress, or None without a pace."""
+        pace = self._paces.get(upstream_id)
+        return pace.concurrency if pace is not None else None
+
     def set_share(self, share: float) -> None:
         """Set the share (above 0, up to 1) of every pace that this instance may use."""
         self._share = share
--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -7,6 +7,7 @@
 reasons. Times are in ms on one monotonic clock.
 """
 
+import copy
 from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import NamedTuple
 
@@ -94,6 +95,14 @@
     cut_off: int
 
 
+class QuotaPreview(NamedTuple):
+    """Room in the quota of a team: `tokens` are left, and one is due in `wait_ms` (0 if now)."""
+
+    wait_ms: float
+    tokens: float
+    state: QuotaState
+
+
 class _TeamUsage:
     """Use of one team's quota: a token bucket, and the requests of the last window by incarnation.
 
@@ -247,6 +256,25 @@
         if not team.has_quota:
             return 0.0
         usage = self._find_usage(team, now_ms)
+        wait_ms = self._compute_wait_ms(usage, team, now_ms)
+        if wait_ms > 0:
+            rate_per_s = self.limits.compute_rate_per_s(team)
+            return self._schedule_retry(usage, wait_ms, rate_per_s, now_ms)
+        usage.debt += 1.0
+        usage.admitted += 1.0
+        usage.change_count(self._incarnation, 1.0, self.limits.window_ms, now_ms)
+        self._record_activity(now_ms)
+        return 0.0
+
+    def preview(self, team: Team, now_ms: float) -> QuotaPreview:
+        """Return what `admit` would find now, without counting a request."""
+        usage = copy.deepcopy(self._usage.get(team.name)) or self._create_usage(team, now_ms)
+        wait_ms = self._compute_wait_ms(usage, team, now_ms) if team.has_quota else 0.0
+        tokens = self.limits.compute_burst(team) - usage.debt
+        return QuotaPreview(wait_ms, tokens, self._describe(usage, team, now_ms))
+
+    def _compute_wait_ms(self, usage: _TeamUsage, team: Team, now_ms: float) -> float:
+        """Return after how many ms the quota has room for one more request, 0 if it has now."""
         rate_per_s = self.limits.compute_rate_per_s(team)
         # Tokens of the time since the others' reports may have been used by them.
         usage.refill(rate_per_s, self._peers.find_covered_ms(now_ms))
@@ -258,13 +286,7 @@
             # Without any, the room is kept for others, one of which may serve the request sooner.
             window_wait_ms = self.report_interval_ms if release_ms is None else release_ms - now_ms
             wait_ms = max(wait_ms, window_wait_ms)
-        if wait_ms > 0:
-            return self._schedule_retry(usage, wait_ms, rate_per_s, now_ms)
-        usage.debt += 1.0
-        usage.admitted += 1.0
-        usage.change_count(self._incarnation, 1.0, self.limits.window_ms, now_ms)
-        self._record_activity(now_ms)
-        return 0.0
+        return wait_ms
 
     def _schedule_retry(
         self, usage: _TeamUsage, wait_ms: float, rate_per_s: float, now_ms: float
@@ -405,17 +427,20 @@
     def _find_usage(self, team: Team, now_ms: float) -> _TeamUsage:
         usage = self._usage.get(team.name)
         if usage is None:
-            # An instance that has just started does not know what was admitted before; all may
-            # have been restarted. The burst counts as used at the start.
-            uptime_ms = now_ms - self._started_ms
-            debt = 0.0
-            if uptime_ms < self.limits.window_ms:
-                refilled = self.limits.compute_rate_per_s(team) * uptime_ms / MS_PER_SECOND
-                at_start = START_SLACK_SHARE * self.limits.compute_slack(team)
-                debt = max(0.0, self.limits.compute_burst(team) - at_start - refilled)
-            usage = self._usage[team.name] = _TeamUsage(debt, now_ms)
+            usage = self._usage[team.name] = self._create_usage(team, now_ms)
         return usage
 
+    def _create_usage(self, team: Team, now_ms: float) -> _TeamUsage:
+        # An instance that has just started does not know what was admitted before; all may have
+        # been restarted. The burst counts as used at the start.
+        uptime_ms = now_ms - self._started_ms
+        debt = 0.0
+        if uptime_ms < self.limits.window_ms:
+            refilled = self.limits.compute_rate_per_s(team) * uptime_ms / MS_PER_SECOND
+            at_start = START_SLACK_SHARE * self.limits.compute_slack(team)
+            debt = max(0.0, self.limits.compute_burst(team) - at_start - refilled)
+        return _TeamUsage(debt, now_ms)
+
     def _compute_share(self, now_ms: float) -> float:
         """Return the share (0 to 1) of a quota for each instance that is cut off."""
         in_use = len(self._peers.list_in_use(now_ms)) + self._has_share
--- a/citronpaddle/policy/ratelimit.py
+++ b/citronpaddle/policy/ratelimit.py
@@ -3,8 +3,8 @@
 Times are in ms on one monotonic clock.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 
 MS_PER_SECOND = 1_000.0
 # Only an answer shows that a limit has ended, so all instances together send at least at this rate,
@@ -40,6 +40,15 @@
     def __len__(self) -> int:
         return len(self._limits)
 
+    def copy_for(self, upstream_ids: Iterable[str]) -> "RateLimits":
+        """Return a copy with the limits of some upstreams; it draws no random numbers."""
+        copied = RateLimits(lambda: 0.0)
+        copied._share = self._share
+        copied._limits = {
+            name: replace(self._limits[name]) for name in upstream_ids if name in self._limits
+        }
+        return copied
+
     def set_share(self, share: float) -> None:
         """Set the share (above 0, up to 1) of every limit that this instance may use."""
         self._share = share
--- a/citronpaddle/policy/registry.py
+++ b/citronpaddle/policy/registry.py
@@ -3,6 +3,7 @@
 Times are in ms on one monotonic clock.
 """
 
+from enum import Enum
 from typing import NamedTuple
 
 # Entries that lapsed during a store outage are rewritten within about two seconds of its end.
@@ -39,6 +40,14 @@
         return self.host, self.port
 
 
+class Unavailability(Enum):
+    """Why a listed upstream may not receive new requests."""
+
+    DRAINING = "draining"
+    DOMAIN_OUT = "domain_out"
+    MISDIRECTED = "misdirected"
+
+
 class _RemovedEntry(NamedTuple):
     """The last entry of an upstream that was removed, and when that was, in ms."""
 
@@ -74,14 +83,25 @@
             available = tuple(
                 upstream
                 for upstream in self._upstreams.values()
-                if upstream.service == service
-                and not upstream.is_leaving
-                and upstream.domain not in self._out_domains
-                and upstream.id not in self._excluded_until_ms
+                if upstream.service == service and self.find_unavailability(upstream) is None
             )
             self._by_service[service] = available
         return available
 
+    def list_listed(self, service: str) -> tuple[Upstream, ...]:
+        """Return all listed upstreams of `service`, available or not."""
+        return tuple(one for one in self._upstreams.values() if one.service == service)
+
+    def find_unavailability(self, upstream: Upstream) -> Unavailability | None:
+        """Return why an upstream may not receive new requests, or None if it may."""
+        if upstream.is_leaving:
+            return Unavailability.DRAINING
+        if upstream.domain in self._out_domains:
+            return Unavailability.DOMAIN_OUT
+        if upstream.id in self._excluded_until_ms:
+            return Unavailability.MISDIRECTED
+        return None
+
     def get(self, upstream_id: str) -> Upstream | None:
         """Return a listed upstream, or None."""
         return self._upstreams.get(upstream_id)
--- a/citronpaddle/policy/selection.py
+++ b/citronpaddle/policy/selection.py
@@ -3,6 +3,7 @@
 Times are in ms on one monotonic clock.
 """
 
+import copy
 import itertools
 from collections.abc import Callable, Collection
 from typing import NamedTuple
@@ -47,6 +48,24 @@
     at_ms: float
 
 
+class Assessment(NamedTuple):
+    """What a choice knows about an upstream; its cost is from `cost` to `highest_cost`, by chance.
+
+    It has `open_calls` of at most `max_calls` (None without a limit) from this instance. The next
+    permit of a rate-limited upstream is due in `permit_ms`. `stats` is None before the first call.
+    """
+
+    cost: float
+    highest_cost: float
+    is_healthy: bool
+    pace_factor: float
+    has_room: bool
+    open_calls: int
+    max_calls: int | None
+    permit_ms: float
+    stats: UpstreamStats | None
+
+
 class Selector:
     """Chooses the upstream with the lowest expected time to a reply; tracks open calls."""
 
@@ -74,6 +93,11 @@
         self.paces = Paces()
         self._call_count = 0
 
+    @property
+    def domain(self) -> str:
+        """Return the failure domain of this instance."""
+        return self._domain
+
     def set_share(self, share: float, is_recently_started: bool) -> None:
         """Set the share (0 to 1) of each upstream's connections, rate and pace for this instance.
 
@@ -124,14 +148,47 @@
         for upstream in upstreams:
             if upstream.id in avoid or not self._has_capacity(upstream, limits, now_ms):
                 continue
-            cost, is_healthy = self._estimate_cost(upstream, now_ms, late_threshold_ms)
-            cost += _TIE_BREAK_COST * self._draw()
-            pace_factor = self._find_pace_factor(upstream, now_ms)
-            cost *= pace_factor
+            cost, is_healthy, pace_factor = self._compute_cost(
+                upstream, now_ms, late_threshold_ms, self._draw()
+            )
             if best is None or cost < best_cost:
                 best, best_cost = Choice(upstream, is_healthy, pace_factor == 1.0), cost
         return best
 
+    def copy_for_service(self, service: str) -> "Selector":
+        """Return a copy with what is known about the upstreams of `service`, for a dry run.
+
+        Neither its choices nor its assessments change this one. It draws no random numbers: each of
+        its choices is the one at the lowest draw.
+        """
+        ids = [upstream.id for upstream in self._registry.list_listed(service)]
+        copied = copy.copy(self)
+        copied._draw = lambda: 0.0
+        copied._stats = {
+            name: copy.deepcopy(self._stats[name]) for name in ids if name in self._stats
+        }
+        copied._rate_limits = self._rate_limits.copy_for(ids)
+        copied.paces = self.paces.copy_for(ids)
+        return copied
+
+    def assess(self, upstream: Upstream, now_ms: float, late_threshold_ms: float) -> Assessment:
+        """Return what a choice would be based on; call it on a copy, since statistics decay."""
+        limits = self._get_limits(upstream.service)
+        cost, is_healthy, pace_factor = self._compute_cost(upstream, now_ms, late_threshold_ms, 0.0)
+        highest_cost, _, _ = self._compute_cost(upstream, now_ms, late_threshold_ms, 1.0)
+        stats = self._stats.get(upstream.id)
+        return Assessment(
+            cost,
+            highest_cost,
+            is_healthy,
+            pace_factor,
+            self._has_capacity(upstream, limits, now_ms),
+            len(stats.open_sent_ms) if stats is not None else 0,
+            self._compute_max_calls(limits) if limits is not None else None,
+            self._rate_limits.find_permit_ms(upstream.id, now_ms) - now_ms,
+            stats,
+        )
+
     def reserve(
         self, service: str, now_ms: float, latest_ms: float, avoid: Collection[str] = ()
     ) -> Reservation | None:
@@ -201,14 +258,24 @@
             return True
         stats = self._stats.get(upstream.id)
         if stats is not None:
-            if len(stats.open_sent_ms) >= max(
-                1, int(limits.max_connections * self._connection_share)
-            ):
+            if len(stats.open_sent_ms) >= self._compute_max_calls(limits):
                 return False
         if upstream.cold_until_ms > now_ms and limits.cold_rate_per_s > 0:
             return self._slow_start.permit(upstream.id, limits.cold_rate_per_s, now_ms)
         return True
 
+    def _compute_max_calls(self, limits: ServiceLimits) -> int:
+        return max(1, int(limits.max_connections * self._connection_share))
+
+    def _compute_cost(
+        self, upstream: Upstream, now_ms: float, late_threshold_ms: float, draw: float
+    ) -> tuple[float, bool, float]:
+        """Return the cost of a call, whether the upstream is not avoided, and the pace's factor."""
+        cost, is_healthy = self._estimate_cost(upstream, now_ms, late_threshold_ms)
+        cost += _TIE_BREAK_COST * draw
+        pace_factor = self._find_pace_factor(upstream, now_ms)
+        return cost * pace_factor, is_healthy, pace_factor
+
     def _find_pace_factor(self, upstream: Upstream, now_ms: float) -> float:
         if not self.paces.may_apply(upstream, now_ms):
             return 1.0
--- a/citronpaddle/policy/sharing.py
+++ b/citronpaddle/policy/sharing.py
@@ -14,6 +14,7 @@
 """
 
 import bisect
+import copy
 import itertools
 from collections import Counter
 from collections.abc import Callable
@@ -58,6 +59,18 @@
     limit: int | None
 
 
+class ServiceLoad(NamedTuple):
+    """The calls to a service and the parts that wait; first calls queue if it `is_congested`.
+
+    `limit` is the limit of open calls after rejections, or None.
+    """
+
+    is_congested: bool = False
+    waiting: int = 0
+    open_calls: int = 0
+    limit: int | None = None
+
+
 @dataclass(slots=True, eq=False)
 class Ticket:
     """A part that waits for room at `service`.
@@ -269,6 +282,21 @@
         state = self._services.get(service)
         return self.is_enabled and state is not None and state.is_congested(now_ms)
 
+    def describe(self, service: str, now_ms: float) -> ServiceLoad:
+        """Return the load of a service, without any change."""
+        state = self._services.get(service)
+        if state is None:
+            return ServiceLoad()
+        # The end of a limit is found by reading it.
+        copied = copy.copy(state)
+        copied.limit = copy.copy(state.limit)
+        return ServiceLoad(
+            copied.is_congested(now_ms),
+            len(state.waiting),
+            state.open_calls,
+            copied.limit.read(now_ms),
+        )
+
     def join(
         self,
         service: str,
