Explain where a request would go now, without sending it

Cause: operators could explain a request only after it had ended, from the logs of all instances.

Change: GET /placement at the ready address, and the program citronpaddle-placement, which asks one instance. The answer has the version of the configuration, the route or the reason for a refusal, the team with the room in its quota, the priority, the weights of a split, and for each service its load and its upstreams with their cost and why each is not first; of shards only the unusual ones. Queries of any other form get 400. The size of the answer is bounded, and a team is given by name only.

Not tested on an instance: a running roll-out, a split, requests that wait.

--- a/citronpaddle/adapters/instance_status.py
+++ b/citronpaddle/adapters/instance_status.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Sequence
 from typing import Any, NamedTuple
+from urllib.parse import urlencode
 
 import aiohttp
 from pydantic import ValidationError
@@ -53,6 +54,24 @@
         return _fail(address, f"its configuration cannot be read ({error.errors()[0]['msg']})")
 
 
+async def fetch_placement(
+    address: str, host: str, path: str, team: str | None, timeout_ms: float
+) -> dict[str, Any] | Failure:
+    """Return where the instance with this ready address would send a request now, and why."""
+    fields = {"host": host, "path": path} | ({"team": team} if team is not None else {})
+    async with aiohttp.ClientSession() as session:
+        body = await _get(session, address, f"/placement?{urlencode(fields)}", timeout_ms)
+    if isinstance(body, Failure):
+        return body
+    try:
+        report = json.loads(body)
+    except ValueError:
+        report = None
+    if not isinstance(report, dict) or "outcome" not in report:
+        return _fail(address, "the reply is not a placement: is this its ready address?")
+    return report
+
+
 async def _fetch_report(
     session: aiohttp.ClientSession, address: str, timeout_ms: float
 ) -> InstanceReport | Failure:
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -24,6 +24,7 @@
 from .forwarding import CallCodec, ExchangeRunner, Forwarder
 from .gatewaysettings import GatewaySettings
 from .peering import Peering
+from .placement import PLACEMENT_PATH, PlacementReporter
 from .policy.catalog import CallerLimits, ServiceLimits
 from .policy.exchange import ExchangeDependencies
 from .policy.extraload import ExtraLoad
@@ -126,10 +127,22 @@
             lambda sender, batch: self._store_follower.apply_batch(sender, batch),
             quotas=self._quotas,
         )
+        latencies = RouteLatencies()
+        self._placement = PlacementReporter(
+            settings.name,
+            clock,
+            caller_codec,
+            self.state,
+            self._selector,
+            self._sharing,
+            self._quotas,
+            latencies,
+            lambda: self._request_server.accepts_requests,
+        )
         dependencies = ExchangeDependencies(
             self._selector,
             self._extra_load,
-            RouteLatencies(),
+            latencies,
             itertools.count(1),
             self._peering.hints,
             self._sharing,
@@ -305,6 +318,10 @@
             self.counts, gauges, self._quotas.count_refused(), self._sharing.count_waiting()
         )
 
+    def explain_placement(self, request: HttpRequest) -> HttpAnswer:
+        """Return where a request would go now, and why, or 400 to a malformed query."""
+        return self._placement.answer(request)
+
     def log_error(self, error: BaseException) -> None:
         """Log an unexpected error; the instance continues to serve."""
         self._log.write(Event.INTERNAL_ERROR, "gateway", reason=repr(error))
@@ -426,7 +443,7 @@
 
 
 class StatusService(_GatewayService):
-    """Serves the platform's readiness check and the metrics."""
+    """Serves the platform's readiness check, the metrics and the placement of a request."""
 
     def __init__(self, gateway: Gateway) -> None:
         super().__init__(gateway, Connections())
@@ -435,5 +452,8 @@
         if request.target == METRICS_PATH:
             connection.answer(HttpAnswer(200, METRICS_HEADERS, self._gateway.render_metrics()))
             return
+        if request.target.partition(b"?")[0] == PLACEMENT_PATH:
+            connection.answer(self._gateway.explain_placement(request))
+            return
         status = 200 if self._gateway.is_ready else 503
         connection.answer(HttpAnswer(status, (), b"ready\n" if status == 200 else b"not ready\n"))
--- a/citronpaddle/teamquotas.py
+++ b/citronpaddle/teamquotas.py
@@ -7,7 +7,7 @@
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
 from .policy.catalog import Catalog, Team
-from .policy.quota import WIDE_REPORT_INTERVALS, QuotaLimits, Quotas
+from .policy.quota import WIDE_REPORT_INTERVALS, QuotaLimits, QuotaPreview, Quotas
 from .policy.quotapeers import QuotaReport
 
 # Delay of a report that others need at once: requests that arrive together share it.
@@ -73,6 +73,10 @@
                 loop.call_later(PROMPT_DELAY_MS / 1_000, self._send_prompt_report)
         return wait_ms
 
+    def preview(self, team: Team) -> QuotaPreview:
+        """Return the room in the quota of a team, without counting a request."""
+        return self._quotas.preview(team, self._clock.now_ms())
+
     def give_back(self, team: Team | None, admitted_ms: float) -> None:
         """Return the token of a request that was admitted and has not run."""
         if team is not None:
