Name what the adapters count, check and wait for

Cause: a newcomer stumbled over names such as place, hold and retry later, and over docstrings that did not say what is returned or when it happens.

Change: docstrings, comments and local names of the connections of callers, the store's follower and the codecs say it in the usual terms. No behaviour changes.

--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -26,8 +26,8 @@
     LimitReason.FRAMING_BYTES: 431,
     LimitReason.TRAILER_BYTES: 431,
 }
-# Sent with a refusal for lack of memory or connections, in seconds.
-_RETRY_LATER = ((b"Retry-After", b"1"),)
+# Sent with a refusal for lack of memory or connections; the value is in seconds.
+_RETRY_AFTER = ((b"Retry-After", b"1"),)
 # Bytes kept from a caller that sends its next request before the answer to the last one; above
 # that, reading pauses.
 MAX_UNPARSED_BYTES = 16_384
@@ -79,6 +79,7 @@
         self._held_bytes = 0
         self._in_progress_bytes = 0
         self._is_head_request = False
+        # Whether a request is in progress: complete, and not answered yet.
         self.is_busy = False
         # Belongs to the service while the request is in progress.
         self.exchange: Any = None
@@ -114,11 +115,11 @@
 
     def pause_writing(self) -> None:
         self._is_writing_paused = True
-        self._hold()
+        self._report_held()
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
-        self._hold()
+        self._report_held()
         self._parse_rest()
 
     def data_received(self, data: bytes) -> None:
@@ -135,7 +136,7 @@
             # Otherwise reading continues, since only that reports that a caller has disconnected.
             self._is_reading_paused = True
             self._transport.pause_reading()
-        self._hold()
+        self._report_held()
 
     def _parse_rest(self) -> None:
         """Parse the bytes that arrived during the last request, unless another one is handled."""
@@ -170,7 +171,7 @@
                 return
         if self._read_start_ms is not None:
             self._sizes.keep_tail(data)
-            self._hold()
+            self._report_held()
 
     def _feed(self, piece: bytes | memoryview, limits: CallerLimits) -> None:
         sizes = self._sizes
@@ -179,7 +180,7 @@
             self._parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._read_start_ms is None and not self.is_busy:
-                # A complete request that asks for another protocol was answered at once.
+                # The parser reports an upgrade after a complete request, which has been answered.
                 self._close()
             else:
                 self._reject(400, LimitReason.MALFORMED)
@@ -247,7 +248,7 @@
             self._clock.now_ms(),
         )
         self._in_progress_bytes = sizes.count_held(len(self._headers))
-        self._hold()
+        self._report_held()
         if self._is_closed:
             return
         self._clear()
@@ -257,8 +258,8 @@
         self.is_busy = True
         self._service.handle(request, self)
 
-    def _hold(self) -> None:
-        """Count the memory that is held for the request, beyond what every connection needs."""
+    def _report_held(self) -> None:
+        """Report the bytes held for requests to the intake; up to `UNCOUNTED_BYTES` count as 0."""
         held = self._in_progress_bytes + len(self._unparsed)
         if self._is_writing_paused:
             held += self._transport.get_write_buffer_size()
@@ -266,7 +267,7 @@
             held += self._sizes.count_held(len(self._headers))
         if held > UNCOUNTED_BYTES or self._held_bytes:
             self._held_bytes = held if held > UNCOUNTED_BYTES else 0
-            self._intake.hold(self, self._held_bytes)
+            self._intake.set_held_bytes(self, self._held_bytes)
 
     def answer(self, answer: HttpAnswer) -> None:
         """Send the answer to the request in progress, then read the next request.
@@ -283,7 +284,7 @@
         self._transport.write(format_answer(answer, closes_connection, self._is_head_request))
         self._in_progress_bytes = 0
         if self._held_bytes:
-            self._hold()
+            self._report_held()
         if closes_connection:
             self._close()
             return
@@ -300,9 +301,9 @@
         return read_round_trip_ms(self._transport.get_extra_info("socket"))
 
     def close_overdue(self, now_ms: float) -> None:
-        """Close the connection if its request or its next request is overdue.
+        """Close the connection if its request or its next request is overdue at `now_ms`.
 
-        Abort it if its caller has not read the last answer so long after it was closed.
+        Abort a closed connection whose caller has not read the last answer within the idle timeout.
         """
         limits = self._service.get_limits()
         if self._is_closed:
@@ -359,7 +360,7 @@
         self._unparsed.clear()
         self._is_reading_paused = True
         self._transport.pause_reading()
-        self._hold()
+        self._report_held()
 
     def _reject(self, status: int, reason: LimitReason) -> None:
         if self._is_closed:
@@ -368,7 +369,7 @@
         if self.is_busy:
             self._stop_reading()
             return
-        headers = _RETRY_LATER if status == 503 else ()
+        headers = _RETRY_AFTER if status == 503 else ()
         self._transport.write(format_answer(HttpAnswer(status, headers), True, False))
         self._close()
 
@@ -380,7 +381,7 @@
             self._in_progress_bytes = 0
             self._unparsed.clear()
             self._clear()
-            self._hold()
+            self._report_held()
 
 
 class Connections:
@@ -417,7 +418,7 @@
             return
 
     def close_overdue(self, now_ms: float) -> None:
-        """Close connections whose request headers or next request are overdue."""
+        """Close or abort the connections that are overdue at `now_ms`, a monotonic time."""
         for connection in list(self._open):
             connection.close_overdue(now_ms)
 
--- a/citronpaddle/adapters/counts.py
+++ b/citronpaddle/adapters/counts.py
@@ -45,7 +45,8 @@
 ) -> bytes:
     """Return the counters, the latencies and the gauges in the Prometheus text format.
 
-    `waiting_by_priority` has the number of parts of requests that wait for room.
+    `refused_by_team` has the requests refused since each team went over its quota, and
+    `waiting_by_priority` the parts of requests that wait for room.
     """
     from prometheus_client import CollectorRegistry, generate_latest
     from prometheus_client.core import (
--- a/citronpaddle/adapters/framing.py
+++ b/citronpaddle/adapters/framing.py
@@ -12,7 +12,7 @@
 
 
 def find_end_of_head(tail: bytes, data: bytes, start: int) -> int:
-    """Return the place in `data` after the next end of a head, or -1.
+    """Return the index in `data` after the next end of a head, or -1.
 
     The end may begin in `tail`, the bytes received before `data[start]`, which it must not contain.
     """
@@ -47,7 +47,7 @@
         self.reset()
 
     def reset(self) -> None:
-        """Begin with the next request."""
+        """Reset all counts for the next request."""
         self.body_bytes = 0
         self.body_left_bytes = 0
         self.is_head_complete = False
@@ -61,7 +61,7 @@
         self._tail = b""
 
     def find_end(self, data: bytes, start: int, max_header_bytes: int) -> int:
-        """Return where the piece at `start` ends; `start` itself if the head exceeds its limit."""
+        """Return the index at which the piece ends; `start` if the head exceeds its limit."""
         length = len(data)
         if self.is_head_complete and self.body_left_bytes:
             return min(length, start + self.body_left_bytes)
@@ -117,27 +117,27 @@
     def find_excess(
         self, max_header_bytes: int, max_body_bytes: int, is_complete: bool = False
     ) -> LimitReason | None:
-        """Return which part exceeds its limit, if any; `is_complete` at the end of the request."""
+        """Return the limit that is exceeded, or None; `is_complete` at the end of the request."""
         if self.body_bytes > max_body_bytes:
             return LimitReason.BODY_BYTES
         if self._wire_bytes == self.body_bytes:
             return None
         if max(self._trailer_bytes, self._unfinished_trailer_bytes) > max_header_bytes:
             return LimitReason.TRAILER_BYTES
-        # More body may follow until the request is complete, so only the largest one counts.
+        # Until the request is complete more body may follow, so the largest body is assumed.
         body_bytes = self.body_bytes if is_complete else max_body_bytes
         framing_bytes = self._wire_bytes - self.body_bytes
         if framing_bytes > max_header_bytes + MAX_FRAMING_PER_BODY_BYTE * body_bytes:
             return LimitReason.FRAMING_BYTES
         return None
 
-    def count_held(self, headers: int) -> int:
-        """Return the memory in bytes that the request takes, with its number of headers."""
+    def count_held(self, header_count: int) -> int:
+        """Return the memory in bytes that the request takes with this number of header fields."""
         # A growing buffer is an eighth larger than its content.
         body_bytes = self.body_bytes + (self.body_bytes >> 3)
         return (
             self._head_bytes
-            + headers * HEADER_COST_BYTES
+            + header_count * HEADER_COST_BYTES
             + body_bytes
             + self._unfinished_trailer_bytes
         )
--- a/citronpaddle/adapters/intake.py
+++ b/citronpaddle/adapters/intake.py
@@ -17,6 +17,7 @@
 # Connections that are accepted at a time. asyncio accepts further ones before it reports these, so
 # a large batch would exceed the limit on connections before the first one can be closed.
 ACCEPT_BATCH = 16
+# Minimum interval of the log lines.
 REPORT_INTERVAL_MS = 1_000.0
 
 
@@ -62,7 +63,7 @@
         self._budget.limits = limits
 
     def add(self, connection: LimitedConnection) -> None:
-        """Add a new connection; close others, or this one, if there are too many."""
+        """Add a new connection; close others, or this one, if the limit is exceeded."""
         self._open.add(connection)
         if len(self._open) > self._budget.limits.connections:
             standings = [item.describe() for item in self._open]
@@ -75,8 +76,8 @@
         self._open.discard(connection)
         self._budget.hold(connection, 0)
 
-    def hold(self, connection: LimitedConnection, size_bytes: int) -> None:
-        """Set the bytes that a connection holds; give up requests if there are too many."""
+    def set_held_bytes(self, connection: LimitedConnection, size_bytes: int) -> None:
+        """Set the bytes held for a connection; give up requests if the sum exceeds its limit."""
         self._budget.hold(connection, size_bytes)
         if self._budget.exceeds_bytes:
             standings = [item.describe() for item in self._open]
@@ -89,7 +90,7 @@
         self._unreported[reason.value] += 1
 
     def report(self) -> None:
-        """Log what was counted since the last line, one line per `REPORT_INTERVAL_MS` at most."""
+        """Log what was counted since the last line, at most once in `REPORT_INTERVAL_MS`."""
         now_ms = self._clock.now_ms()
         if not self._unreported or now_ms - self._reported_ms < REPORT_INTERVAL_MS:
             return
@@ -108,7 +109,7 @@
     """A listening socket whose queue is longer than the batch that asyncio accepts."""
 
     def listen(self, _batch: int) -> None:
-        # asyncio passes one number for both.
+        # asyncio passes the size of its batch as the length of the queue.
         super().listen(BACKLOG)
 
 
--- a/citronpaddle/adapters/roundtrips.py
+++ b/citronpaddle/adapters/roundtrips.py
@@ -10,7 +10,7 @@
 
 
 def read_round_trip_ms(sock: socket.socket) -> float | None:
-    """Return the network time of a message and its answer in ms, or None if unknown."""
+    """Return the smoothed round-trip time in ms, or None if the kernel does not report it."""
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
     except OSError:
--- a/citronpaddle/adapters/statusline.py
+++ b/citronpaddle/adapters/statusline.py
@@ -11,11 +11,13 @@
 from .framing import END_OF_HEAD, find_end_of_head
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9][ \r]")
-# The bytes that are allowed at each place of the pattern above.
-_PLACES = (*(bytes([byte]) for byte in b"HTTP/1."), b"01", b" ", b"12345") + (b"0123456789",) * 2
-_ALLOWED = (*_PLACES, b" \r")
+# The bytes that are allowed at each position of the pattern above.
+_UP_TO_STATUS = (*(bytes([byte]) for byte in b"HTTP/1."), b"01", b" ", b"12345") + (
+    b"0123456789",
+) * 2
+_ALLOWED = (*_UP_TO_STATUS, b" \r")
 _VERSIONS = ("1.1", "1.0")
-_CLASS_PLACE = _ALLOWED.index(b"12345")
+_STATUS_CLASS_INDEX = _ALLOWED.index(b"12345")
 
 
 class StatusLineError(httptools.HttpParserError):
@@ -34,20 +36,21 @@
         self.reset()
 
     def reset(self) -> None:
-        """Begin with the first response to a request."""
-        self._checked = 0
+        """Expect the beginning of a response."""
+        self._checked_bytes = 0
         self._is_interim = False
         self._tail = b""
 
     def check(self, data: bytes, start: int) -> int:
-        """Return where the response that `data` continues at `start` may end, else the length.
+        """Check the bytes from `start` on; return the index after those to parse next.
 
-        Raise StatusLineError if it does not begin as a response must.
+        These end with the head of an interim response, otherwise with `data`. Raise
+        StatusLineError if the status line is not one of HTTP/1.0 or HTTP/1.1.
         """
-        if not self._checked and _STATUS_LINE.match(data, start):
-            self._checked = len(_ALLOWED)
-            self._is_interim = data[start + _CLASS_PLACE] == ord("1")
-        elif self._checked < len(_ALLOWED):
+        if not self._checked_bytes and _STATUS_LINE.match(data, start):
+            self._checked_bytes = len(_ALLOWED)
+            self._is_interim = data[start + _STATUS_CLASS_INDEX] == ord("1")
+        elif self._checked_bytes < len(_ALLOWED):
             self._check_bytes(data, start)
         if not self._is_interim:
             return len(data)
@@ -60,9 +63,9 @@
         return end
 
     def _check_bytes(self, data: bytes, start: int) -> None:
-        for byte in data[start : start + len(_ALLOWED) - self._checked]:
-            if byte not in _ALLOWED[self._checked]:
+        for byte in data[start : start + len(_ALLOWED) - self._checked_bytes]:
+            if byte not in _ALLOWED[self._checked_bytes]:
                 raise StatusLineError
-            if self._checked == _CLASS_PLACE:
+            if self._checked_bytes == _STATUS_CLASS_INDEX:
                 self._is_interim = byte == ord("1")
-            self._checked += 1
+            self._checked_bytes += 1
--- a/citronpaddle/availability.py
+++ b/citronpaddle/availability.py
@@ -80,13 +80,13 @@
 
     @property
     def is_unready(self) -> bool:
-        """Return whether the instance has no configuration, so that the follower retries often."""
+        """Return whether there is no configuration yet: then `pause` limits the time to a retry."""
         return self._state.catalog is None
 
     async def wait_for_return(self, failure: StoreFailure) -> None:
-        """Wait until another task's call is answered, or for `max_return_wait_ms`.
+        """Wait until another task's call is answered, at most for `max_return_wait_ms` and jitter.
 
-        Refused calls have a cost, so that only one task of an instance retries.
+        Refused calls have a cost, so only one task of an instance retries.
         """
         self._handle_failure(failure)
         jitter = 1.0 + RETRY_JITTER * self._random()
--- a/citronpaddle/callercodec.py
+++ b/citronpaddle/callercodec.py
@@ -34,7 +34,8 @@
     def make_content(self, request: HttpRequest, team: str | None, has_teams: bool) -> object:
         """Return the content of a request for the upstreams.
 
-        With `has_teams`, it has the name of the caller's `team`, if any, in place of the key.
+        `has_teams` states that the configuration identifies callers by keys. The content then has
+        the name of the caller's `team`, if any, in place of the key.
         """
 
     @abstractmethod
@@ -47,7 +48,7 @@
 
     @abstractmethod
     def make_over_quota(self, retry_ms: float) -> HttpAnswer:
-        """Return the answer to a request beyond its team's quota, which has not run."""
+        """Return the answer to a request beyond its team's quota, to be retried in `retry_ms`."""
 
     @abstractmethod
     def make_unauthorized(self) -> HttpAnswer:
--- a/citronpaddle/explanation.py
+++ b/citronpaddle/explanation.py
@@ -36,6 +36,7 @@
     "error": "the upstream ran the request and failed",
 }
 
+# Explanations of a refusal by the reason in its log line.
 REFUSALS = {
     "no_upstream": "no upstream was listed for the request, or for too many of its shards",
     "too_few_shards": "no upstream was listed for the request, or for too many of its shards",
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -139,9 +139,9 @@
             await self._watch()
 
     async def _watch(self) -> None:
-        """Apply changes until all must be read again.
+        """Apply changes until the full state must be read again.
 
-        That is so when the store has discarded changes that are needed, or was restored.
+        Return when the store has discarded changes that are needed, or was restored from a copy.
         """
         # If all instances start together, each new entry would end the first watch of all others.
         await asyncio.sleep(self._times.watch_interval_ms / 1_000)
@@ -162,7 +162,7 @@
                 self._log.write(Event.HISTORY_LOST, "fleet", after_revision=after)
                 return
             if isinstance(changes, StoreFailure):
-                # The registration retries, since the lease is the first to suffer.
+                # The registration retries, since the lease has the shortest time limit.
                 await self._availability.wait_for_return(changes)
                 continue
             self._availability.handle_answer()
@@ -177,9 +177,9 @@
                 await asyncio.sleep(remaining_ms / 1_000)
 
     def _begin_era(self, era: int) -> None:
-        """Read everything again if the store was restored from a copy.
+        """Set the era; if it is new, the store was restored, and a full read is scheduled.
 
-        Until then, `revision` is 0: what was read of the earlier era stays in force, and no
+        Until that read, `revision` is 0: what was read of the earlier era stays in force, and no
         revision of it is compared with one of the new era.
         """
         if era <= self._state.era:
@@ -276,7 +276,7 @@
                 continue
             watch = self._pending_watch
             if watch is None and self._state.is_store_lost:
-                # The watch follows as soon as another call is answered.
+                # The watch is called again once another call is answered.
                 was_unanswered = False
                 continue
             revision = await self._store.read_revision()
--- a/citronpaddle/forwarding.py
+++ b/citronpaddle/forwarding.py
@@ -230,7 +230,7 @@
         self._timer = loop.call_later(max(0.0, delay_ms) / 1_000, self._handle_timer)
 
     def _schedule_timer(self) -> None:
-        """Handle the timer as soon as the event loop is free."""
+        """Handle the timer in the next iteration of the event loop."""
         if self._deliver is None:
             return
         if self._timer is not None:
@@ -256,7 +256,7 @@
             and self.request.route.shards
             and not isinstance(self.exchange.outcome, Answered)
         ):
-            # The replies that are still due can't make an answer any more.
+            # The query is given up, so further replies are of no use.
             self._cancel_calls()
         elif self._dispatches:
             loop = asyncio.get_running_loop()
