Say what changes, and when, in the text on roll-outs and the store

Cause: several docstrings on roll-outs, quotas, the restore and the settings left out units, errors or the effect of a failure.

Change: they name them; SharedRollout.belongs_to and the runner's _ensure_shared replace is_of and _find_shared. One error message about the settings of quotas is worded in full. No behaviour changes.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -379,6 +379,7 @@
             self._request_server.retain_routes(self.state.catalog.routes)
 
     def _create_rollouts(self, store: StateStore, codec: RolloutCodec) -> RolloutRunner | None:
+        """Return the runner of roll-outs, or None if the settings have no bound for them."""
         settings = self._settings
         if settings.exposure is None:
             return None
--- a/citronpaddle/gatewaysettings.py
+++ b/citronpaddle/gatewaysettings.py
@@ -15,8 +15,9 @@
     `grace_ms` is the time allowed for a stop, `address_ttl_s` how long callers may keep a list of
     addresses, `config_apply_ms` the time allowed for applying a new configuration, and `cores` the
     processor time of the instance in seconds per second on the scale of the platform's settings.
-    `memory_mb` and `descriptors` are the limits of the process, None if they are not known.
-    `exposure` is None where there are no roll-outs.
+    `min_lease_ms` is the shortest lease that the store grants. `memory_mb` and `descriptors` limit
+    the memory of the process in MB and its open files; they are None if not known. `exposure`
+    bounds the calls to a bad version; it is None where there are no roll-outs.
     """
 
     name: str
--- a/citronpaddle/peering.py
+++ b/citronpaddle/peering.py
@@ -51,7 +51,7 @@
     ) -> None:
         """Pass the batches of other instances to `on_feed`; `quotas` is None without quotas."""
         self.loop_lag_ms = 0.0
-        # The share of limits over all instances that this instance may use.
+        # The share, from 0 to 1, that this instance may use of limits over all instances.
         self.share = 0.0
         self.hints = Hints(selector, self._schedule_hints)
         self._clock = clock
--- a/citronpaddle/platform/fields.py
+++ b/citronpaddle/platform/fields.py
@@ -12,7 +12,7 @@
 
 
 def require_field(item: Any, name: str, expected_type: type | tuple[type, ...]) -> Any:
-    """Return the value of field `name`; raise DocumentError if it is missing, odd or too large."""
+    """Return the value of field `name`; raise DocumentError if it is missing or invalid."""
     value = item.get(name) if isinstance(item, dict) else None
     if not isinstance(value, expected_type) or isinstance(value, bool):
         raise DocumentError(f"field {name} is missing or of the wrong type")
--- a/citronpaddle/platform/headers.py
+++ b/citronpaddle/platform/headers.py
@@ -47,7 +47,7 @@
 _AUTHORIZATION_KEY = b"authorization"
 # The credentials of a caller: the scheme and its team's key.
 _CREDENTIALS = re.compile(rb"token +([\x21-\x7e]+)", re.IGNORECASE)
-# Credentials are the system's own, and callers can't claim to be of a team.
+# Upstreams get no keys, and callers can't name their team themselves.
 _IDENTITY_HEADERS = frozenset({_AUTHORIZATION_KEY, TEAM.lower()})
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _MAX_DEADLINE_MS = 86_400_000
@@ -98,7 +98,7 @@
         elif key == _ATTEMPT_KEY:
             attempt_id = value.strip()
         elif key == _DEADLINE_KEY and value.strip().isdigit():
-            # Python refuses to read thousands of digits; these show that it exceeds the maximum.
+            # int() refuses thousands of digits; the first ones suffice to exceed the maximum.
             digits = value.strip().lstrip(b"0")[:_MAX_DEADLINE_DIGITS] or b"0"
             deadline_ms = float(min(int(digits), _MAX_DEADLINE_MS))
     if not host or not request.target.startswith(b"/"):
@@ -231,7 +231,7 @@
 
 
 def make_over_quota(retry_ms: float) -> HttpAnswer:
-    """Return the answer 429 to a request beyond its team's quota, which has not run."""
+    """Return the answer 429, with a retry time of `retry_ms`, to a request beyond a quota."""
     return HttpAnswer(429, (_make_retry_after(retry_ms),), b"over the quota of the team")
 
 
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -13,6 +13,7 @@
 
 # Upper limit of the time for which callers may keep a list of addresses.
 MAX_ADDRESS_TTL_S = 2.0
+# The window in which the requests of a team are counted, if the settings name none.
 DEFAULT_QUOTA_WINDOW_S = 5.0
 
 
@@ -63,7 +64,7 @@
 
 
 def _read_exposure(bounds: dict[str, Any]) -> ExposureLimits | None:
-    """Return the bound of calls to a bad version, or None where there are no roll-outs."""
+    """Return the bounds of calls to a bad version, or None where there are no roll-outs."""
     if "exposure_share" not in bounds:
         return None
     share = _read_number(bounds, "exposure_share", 0.0)
@@ -82,7 +83,7 @@
 
 
 def _read_limit(document: dict[str, Any], name: str) -> int | None:
-    """Return a limit of the machine, or None if the settings don't state one above 0."""
+    """Return the limit `name` of the machine, or None if the settings state none above 0."""
     limits = document.get("limits")
     value = limits.get(name) if isinstance(limits, dict) else None
     if isinstance(value, bool) or not isinstance(value, int) or value <= 0:
@@ -91,7 +92,7 @@
 
 
 def _read_quota_limits(bounds: dict[str, Any]) -> QuotaLimits:
-    """Return the rule for quotas; without one in the settings, they are kept without any slack."""
+    """Return the limits of quotas; the default tolerates no request beyond rate and burst."""
     limits = QuotaLimits(
         _read_number(bounds, "quota_window_s", DEFAULT_QUOTA_WINDOW_S) * 1_000.0,
         _read_number(bounds, "quota_overshoot", 0.0),
@@ -99,7 +100,7 @@
     )
     if limits.window_ms <= 0 or limits.overshoot < 0 or limits.slack < 0:
         raise PlatformSettingsError(
-            "quota_window_s must be above 0, quota_overshoot and quota_slack not below"
+            "quota_window_s must be above 0, quota_overshoot and quota_slack at least 0"
         )
     return limits
 
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -28,7 +28,7 @@
 # A watch times out this long after the time for which it was asked to wait.
 WATCH_MARGIN_MS = 2_000.0
 _MAX_IDLE_MS = 10_000.0
-# The number of times that the store was restored from a copy.
+# The header field with the number of times that the store was restored from a copy.
 _ERA_KEY = b"store-era"
 _MAX_ERA_DIGITS = 15
 _ROOT = "/citronpaddle"
--- a/citronpaddle/platform/teams.py
+++ b/citronpaddle/platform/teams.py
@@ -44,7 +44,7 @@
 
 
 def _read_amount(item: dict[str, Any], name: str) -> float:
-    """Return a number of requests, 0 if it is left out; raise DocumentError if it is negative."""
+    """Return the field `name`, 0 if it is missing; raise DocumentError if it is negative."""
     if item.get(name) is None:
         return 0.0
     amount = float(require_field(item, name, (int, float)))
--- a/citronpaddle/requestlog.py
+++ b/citronpaddle/requestlog.py
@@ -75,7 +75,7 @@
     def _record_shortage(
         self, request: RoutedRequest, runner: ExchangeRunner | None, fields: dict[str, Any]
     ) -> None:
-        """Count a request that was given up for lack of room, and log what decided it."""
+        """Count a request given up for lack of room, and add what decided it to `fields`."""
         if runner is None or runner.exchange.shortage is None:
             return
         self._counts.add("requests_without_room", request.team.name if request.team else "")
--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -2,8 +2,8 @@
 
 Every instance reads the counts of all and plans the same steps from them. The step is written by
 the first instance in a ranking of all; the next ones follow after a pause if it does not. All
-writes of steps are conditional, so of several only one takes effect. Without an order there is no
-call.
+writes of steps are conditional, so of several only one takes effect. Without an order nothing is
+written to the store.
 """
 
 import asyncio
@@ -42,7 +42,7 @@
 
 # Interval at which running roll-outs are judged.
 REVIEW_INTERVAL_MS = 250.0
-# How much later than the one before it in the ranking an instance writes a step that is due.
+# Delay for each rank before an instance writes a step that is due: those ranked higher write first.
 TAKEOVER_MS = 500.0
 # The same for a roll-back, which is urgent; an instance may also be the only one to know the fault.
 ROLL_BACK_TAKEOVER_MS = 150.0
@@ -51,12 +51,13 @@
 MIN_BAD_REPORT_MS = 500.0
 MIN_REPORT_MS = 2_000.0
 REPORT_MS_PER_INSTANCE = 100.0
-# How long an order that was removed stays in force: a store that returns without it gets it again.
+# How long an order that was removed stays in force. After a restore from a copy without the order,
+# the operator writes it again within this time.
 WITHDRAWAL_MS = 10_000.0
 
 
 class RolloutSettings(NamedTuple):
-    """The name and failure domain of the instance, and the bound of calls to a bad version."""
+    """The instance's name and failure domain, and the bounds of calls to a bad version."""
 
     name: str
     domain: str
@@ -106,7 +107,7 @@
         return sum(run.rollout.exposure.sent for run in self._runs.values())
 
     def set_limits(self, limits: ExposureLimits) -> None:
-        """Apply other bounds to the roll-outs that start from now on."""
+        """Set the bounds of calls for the roll-outs that start from now on."""
         self._settings = self._settings._replace(exposure=limits)
 
     def apply(self, item: StoreItem) -> bool:
@@ -114,12 +115,12 @@
         if (service := self._codec.find_order_service(item.key)) is not None:
             self._apply_order(service, item)
         elif (service := self._codec.find_status_service(item.key)) is not None:
-            shared = self._find_shared(service)
+            shared = self._ensure_shared(service)
             shared.status = self._codec.decode_status(item.value) if item.value else None
             shared.status_revision = item.revision if item.value is not None else 0
         elif item.key.startswith(RECORD_PREFIX):
             service = item.key[len(RECORD_PREFIX) :]
-            shared = self._find_shared(service)
+            shared = self._ensure_shared(service)
             shared.record = decode_record(item.value) if item.value else None
             shared.record_revision = item.revision if item.value is not None else 0
         elif item.key.startswith(COUNTS_PREFIX):
@@ -141,11 +142,11 @@
             for write in self._writes.values():
                 write.cancel()
 
-    def _find_shared(self, service: str) -> SharedRollout:
+    def _ensure_shared(self, service: str) -> SharedRollout:
         return self._shared.setdefault(service, SharedRollout())
 
     def _apply_order(self, service: str, item: StoreItem) -> None:
-        shared = self._find_shared(service)
+        shared = self._ensure_shared(service)
         run = self._runs.get(service)
         if (release := self._releases.pop(service, None)) is not None:
             release.cancel()
@@ -174,7 +175,7 @@
     def _refuse_order(self, service: str, order: InvalidOrder) -> None:
         """Log an order that cannot be followed; the one before it stays in force.
 
-        A new version that it names gets no calls: nobody would bound or judge them.
+        A new version that it names gets no calls, since no roll-out would limit or judge them.
         """
         run = self._runs.get(service)
         known = (
@@ -194,7 +195,7 @@
     def _apply_report(self, instance: str, service: str, value: bytes | None) -> None:
         report = decode_report(value) if value is not None else None
         if report is not None and instance != self._settings.name:
-            self._find_shared(service).reports[instance] = report
+            self._ensure_shared(service).reports[instance] = report
 
     def _follow_order(self, service: str) -> None:
         """Start the roll-out of a new order, and apply what the store holds about it."""
@@ -210,12 +211,14 @@
 
     def _start_run(self, order: RolloutOrder) -> RolloutRun:
         now_ms = self._clock.now_ms()
-        # An instance that starts during a roll-out may have used its part of the slack before.
+        # An instance that restarts during a roll-out may have used its part of the slack already.
         is_seen_live = self._state.revision > 0
         slack_share = self._get_share() if is_seen_live else 0.0
         names = self._list_ranked(order.service)
+        # Different on each instance, so that bounds below one call don't all round the same way.
         rounding = (names.index(self._settings.name) + 0.5) / len(names)
         rollout = Rollout(order, Exposure(self._settings.exposure, slack_share, rounding))
+        # Calls to the version before its order was read count against the bound.
         rollout.exposure.sent = self.routing.count_recent(
             order.service, order.target_version, now_ms
         )
@@ -238,7 +241,7 @@
         return run
 
     def _apply_progress(self, run: RolloutRun, shared: SharedRollout) -> None:
-        """Apply the shared progress, unless the store has lost what this instance knows."""
+        """Apply the progress in the store, unless it is behind that of this instance."""
         rollout = run.rollout
         progress = shared.find_progress(run.order)
         if progress < rollout.progress or progress is Progress.ORDERED:
@@ -297,7 +300,7 @@
         )
 
     def _forget(self, service: str) -> None:
-        """Use all upstreams of a service again: its order was withdrawn."""
+        """End the roll-out whose order was removed; all upstreams of the service are used again."""
         del self._runs[service]
         del self.routing.rollouts[service]
         self._shared[service].order = None
--- a/citronpaddle/rolloutstate.py
+++ b/citronpaddle/rolloutstate.py
@@ -22,7 +22,7 @@
 
 RECORD_PREFIX = "citronpaddle/rollouts/"
 COUNTS_PREFIX = "citronpaddle/rollout-counts/"
-# No instance has more calls in a stratum; the arithmetic of the judgement stays exact up to here.
+# The most calls of an instance in a stratum: the arithmetic of the judgement is exact up to here.
 MAX_CALLS = 10**6
 
 
@@ -85,7 +85,7 @@
     record_revision: int = 0
     reports: dict[str, CountsReport] = field(default_factory=dict)
 
-    def is_of(self, order: RolloutOrder) -> bool:
+    def belongs_to(self, order: RolloutOrder) -> bool:
         """Return whether record and status belong to `order` and not to an earlier one."""
         record, status = self.record, self.status
         if record is None or status is None:
@@ -104,8 +104,8 @@
         }
 
     def find_progress(self, order: RolloutOrder) -> Progress:
-        """Return how far the roll-out of `order` has come."""
-        if not self.is_of(order):
+        """Return the progress of the roll-out of `order` as the store has it."""
+        if not self.belongs_to(order):
             return Progress.ORDERED
         if self.status.state is not RolloutState.RUNNING:
             return Progress.ENDED
@@ -181,8 +181,9 @@
 class RolloutRun:
     """The work on one roll-out in this instance; times are monotonic, but for `started_ms`.
 
-    `due_step` is what is to be written since `due_since_ms`, and not before `held_until_ms` of the
-    step. `reported_calls` and `reported_bad` are those to the target version that were reported.
+    `started_ms` is the wall time of the start. `due_step` has been due since `due_since_ms` and is
+    not written before `held_until_ms` of the step. `reported_calls` and `reported_bad` are those to
+    the target version in the last report. `withdrawn_ms` is when the order was removed.
     """
 
     rollout: Rollout
--- a/citronpaddle/rolloutwrites.py
+++ b/citronpaddle/rolloutwrites.py
@@ -33,7 +33,7 @@
 
 
 class RolloutWriter:
-    """Writes under conditions; a write that conflicts has no effect."""
+    """Writes steps under the condition that their keys are unchanged, and counts without one."""
 
     def __init__(
         self,
@@ -54,7 +54,10 @@
     async def write_step(
         self, run: RolloutRun, shared: SharedRollout, decision: Decision, span: int
     ) -> None:
-        """Write a step, if neither the order nor the state has changed since it was planned."""
+        """Write a step, if neither the order nor the state has changed since it was planned.
+
+        `span` is the current span of time, up to which the calls are summed for the log.
+        """
         service = run.order.service
         is_end = decision.step in _END_STATES
         preconditions = [
@@ -66,7 +69,8 @@
         writes = self._make_writes(run, decision.step)
         deletes = self._list_counts_keys(service, shared) if is_end else []
         first = deletes[: MAX_TRANSACTION_ENTRIES - len(preconditions) - len(writes)]
-        # The end, which drops the counts of others, may be read before the answer.
+        # Summed before the write: a change that ends the roll-out clears the reports of others, and
+        # may be received before the answer.
         total = run.rollout.merge_tallies(span).sum()
         result = await self._store.commit(tuple(preconditions), tuple(writes), tuple(first))
         is_failure = isinstance(result, StoreFailure)
@@ -88,7 +92,7 @@
             await self._delete_counts(deletes[len(first) :])
 
     async def write_report(self, run: RolloutRun) -> None:
-        """Write the counts of this instance."""
+        """Write the counts of this instance; after a failure they are due again."""
         order = run.order
         report = CountsReport(order.target_version, order.duration_ms, run.rollout.tally)
         key = make_counts_key(self._name, order.service)
--- a/citronpaddle/serving.py
+++ b/citronpaddle/serving.py
@@ -22,7 +22,7 @@
 # expected to last as long again as it has lasted.
 MIN_UNREADY_RETRY_MS = 300.0
 MAX_UNREADY_RETRY_MS = 2_000.0
-# The round-trip time to a caller if the kernel reports none: one within a domain.
+# The round-trip time to a caller if the kernel reports none: a usual one within a failure domain.
 DEFAULT_ROUND_TRIP_MS = 5.0
 
 
@@ -83,7 +83,7 @@
         return self._start_exchange(request, caller_request, admission, connection)
 
     def retain_routes(self, routes: Iterable[Route]) -> None:
-        """Remove what is known of the callers and services of all other routes."""
+        """Remove the rotations and the statistics of callers of all other routes."""
         kept = {(route.name, route.targets) for route in routes}
         for key in self._rotations.keys() - kept:
             del self._rotations[key]
--- a/citronpaddle/sharedstate.py
+++ b/citronpaddle/sharedstate.py
@@ -104,15 +104,16 @@
         self._removed_while_reading: dict[str, int] | None = None
         self._revisions: dict[str, int] = {}
         self._out_domains: dict[str, str] = {}
-        # Until the store is read again after a restore, a view may have what is known to be gone.
+        # Whether the next full read is the first after a restore: its view may have entries that
+        # were removed since the copy was made.
         self._is_restored = False
         self._restore_grace_until_ms = 0.0
         self._missing_since_restore: set[str] = set()
 
     def begin_era(self) -> None:
-        """Prepare for the store's state after its restore from a copy that is some seconds old.
+        """Prepare for a full read after the store was restored from a copy some seconds old.
 
-        What is known stays in force. Entries that the copy lacks are kept for a grace period, in
+        The known state stays in force. Entries that the copy lacks are kept for a grace period, in
         which their writers write them again.
         """
         now_ms = self._clock.now_ms()
@@ -163,10 +164,10 @@
         self._on_change()
 
     def _may_precede_order(self, item: StoreItem) -> bool:
-        """Return whether an item that is newer than its view brings a new version of a service.
+        """Return whether an item lists an upstream of a version that is new for its service.
 
-        The view may lack the order of the roll-out to which the upstream belongs. It is left to the
-        watch, which delivers both in order.
+        A view may lack the order of the roll-out to which a newer upstream belongs. Such an item is
+        left to the watch, which delivers both in order.
         """
         upstream_id = self._decoder.find_upstream_id(item.key)
         if self._handler is None or upstream_id is None or item.value is None:
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-# The most preconditions, writes and deletes of a transaction together.
+# The store's limit on the preconditions, writes and deletes of a transaction together.
 MAX_TRANSACTION_ENTRIES = 32
 
 
@@ -129,7 +129,7 @@
     async def renew_lease(
         self, lease: Lease, timeout_ms: float
     ) -> Lease | LeaseEnded | StoreFailure:
-        """Renew the lease for its full time and return it."""
+        """Renew the lease for its full time and return it; fail after `timeout_ms`."""
 
     @abstractmethod
     async def end_lease(self, lease: Lease) -> StoreFailure | None:
@@ -148,5 +148,7 @@
     ) -> Committed | Conflict | StoreFailure:
         """Write and delete keys in one transaction if all preconditions hold.
 
+        Return Conflict if one does not hold. After a StoreFailure the transaction may have taken
+        effect.
         A transaction has at most `MAX_TRANSACTION_ENTRIES` entries of all kinds.
         """
--- a/citronpaddle/teamquotas.py
+++ b/citronpaddle/teamquotas.py
@@ -12,22 +12,24 @@
 
 # Delay of a report that others need at once: requests that arrive together share it.
 PROMPT_DELAY_MS = 20.0
-# A regular report may be sent this much before its time: the timer that sends it varies.
+# A regular report may be sent this much before its time, since the interval of reviews varies.
 INTERVAL_TOLERANCE_MS = 50.0
 # A team without a refusal for this long is within its quota again.
 REFUSAL_SPAN_MS = 10_000.0
-# The teams refused lately that are shown in the metrics and not logged again.
+# Teams over their quota that are shown in metrics and log lines; this bounds their number.
 MAX_REFUSED_TEAMS = 32
 
 
 class _Refusals:
+    """The refusals of a team since it went over its quota."""
+
     def __init__(self) -> None:
         self.count = 0
         self.latest_ms = 0.0
 
 
 class TeamQuotas:
-    """The quotas of this instance; without teams that have one, it sends nothing."""
+    """The quotas at this instance; nothing is sent unless a team has one."""
 
     def __init__(
         self, clock: Clock, log: EventLog, limits: QuotaLimits, name: str, incarnation: str
