Say in rollout_written why a step is restored

Cause: the reason "the store has lost it" did not name what was lost.

Change: it names the progress of the roll-out. A comment on the size of a transaction is reworded as well.

--- a/citronpaddle/rollouts.py
+++ b/citronpaddle/rollouts.py
@@ -323,7 +323,7 @@
             self._report_if_due(run, now_ms)
         shared = self._shared[run.order.service]
         if shared.find_progress(run.order) < rollout.progress:
-            decision = Decision(Step.RESTORE, "the store has lost it")
+            decision = Decision(Step.RESTORE, "the store lacks known progress")
         else:
             capacity = self._measure_capacity(rollout)
             decision = rollout.plan_step(elapsed_ms, self.routing.span, capacity, finding)
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-# The store's limit on the preconditions, writes and deletes of a transaction together.
+# The most preconditions, writes and deletes together in one transaction.
 MAX_TRANSACTION_ENTRIES = 32
 
 
