--- a/citronpaddle/cli/placement.py
+++ b/citronpaddle/cli/placement.py
@@ -14,6 +14,7 @@
 from .operator import check_address
 from .reports import format_table
 
+# The texts of a report, by its `reason`, the `step` of a service and the `reason` of a candidate.
 REFUSALS = {
     "no_configuration": "503: the instance has no configuration yet",
     "no_route": "404: no route has this host and a prefix of this path",
