Say in field terms what the quotas count and reserve

Cause: a new reader stumbled over figurative wording (reports that wait on their way, instances taken for gone), over constants without a unit and over the wide report, which no sentence defined.

Change: comments and docstrings of quota and quotapeers are reworded. Local names: PEER_RETENTION_MS, URGENT_BURST_SHARE, mark_unreported, is_expired, _min_offsets_ms. No change of behaviour.

--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -1,9 +1,10 @@
-"""Quotas of teams, which hold over all instances together.
+"""Request quotas of teams, enforced over all instances together.
 
 Each instance counts all requests of a team that it knows of, its own and those that others report,
-and admits by itself while the quota has room. Reports are some ms to some hundred ms old; the slack
-of the quota covers what others have admitted meanwhile. What an instance that is cut off may admit
-is kept free for it: its share of the quota with its slack. `docs/design/quotas.md` gives the
+and admits a request without asking them while the quota is not used up. Reports are a few to a few
+hundred ms old; the slack of the quota covers what others have admitted meanwhile. For an instance
+that is cut off (partitioned from this one), its share of the quota and of the slack is reserved. A
+regular report goes to the instances in use, a wide report to all. `docs/design/quotas.md` gives the
 reasons. Times are in ms on one monotonic clock.
 """
 
@@ -15,33 +16,36 @@
 from .slidingcount import SlidingCount
 
 MS_PER_SECOND = 1_000.0
-# Shares of the slack, which is what the rule tolerates beyond rate and burst, by which the burst
-# and the requests of a window are raised: a request that is refused below the limit is a loss. The
-# rest is for requests that are not reported yet.
+# Shares of the slack (what is tolerated beyond rate and burst) that are added to the burst and to
+# the requests of a window, so that no request is refused below the limit. The rest covers requests
+# that are not reported yet.
 BURST_SLACK_SHARE = 0.25
 WINDOW_SLACK_SHARE = 0.6
-# The same while instances are cut off: some requests are admitted before a cut is noticed.
+# The share for a window while instances are cut off: some requests are admitted before that is
+# detected.
 CUT_WINDOW_SLACK_SHARE = 0.5
-# Share of the slack that an instance admits at once after its start.
+# Share of the slack that an instance may admit at once after its start.
 START_SLACK_SHARE = 0.0625
-# Share of the remaining room at which admissions are reported at once, supposing that the others
-# that report have as many unreported ones.
-PROMPT_ROOM_SHARE = 1.0
-# An instance reports regularly for this long after it was in use or admitted a request, in windows.
-# The others learn meanwhile that it is not in use, so that none of them takes it for cut off.
+# Admissions are reported at once when they reach this share of the burst that is left, assuming
+# that each other reporting instance has as many unreported ones.
+URGENT_BURST_SHARE = 1.0
+# An instance reports regularly for this many windows after it was in use or admitted a request.
+# The others learn meanwhile that it is not in use, so that none of them assumes that it is cut off.
 REPORTED_WINDOWS = 2.0
-# Keeps a report within a datagram: the bytes of all names, with the other bytes of an entry.
+# Upper bound of the entries of a report, so that it fits a datagram, and the size of an entry
+# without its name.
 MAX_REPORT_BYTES = 6_000
 ENTRY_BYTES = 30
-# Most instances that a report names as silent; their names have to fit as well.
+# Maximum number of instances that a report names as missed; their names share its datagram.
 MAX_MISSED = 24
-# Most teams counted that this instance does not know: others may have a newer configuration.
+# Maximum number of counted teams that are not configured here: others may have a newer
+# configuration.
 MAX_UNKNOWN_TEAMS = 256
 # Interval of the reports to the instances in use. It grows with their number, so that an instance
-# sends and receives 250 such reports a second at most.
+# sends and receives at most 250 such reports per second.
 REPORT_INTERVAL_MS = 250.0
 REPORT_INTERVAL_PER_INSTANCE_MS = 4.0
-# The other instances get few requests and are sent every fourth report.
+# One report in this many is a wide one: the instances that are not in use get few requests.
 WIDE_REPORT_INTERVALS = 4
 # An instance may be cut off if the latest report of it is older than this many intervals.
 TIMEOUT_INTERVALS = 2
@@ -50,7 +54,7 @@
 
 
 class QuotaLimits(NamedTuple):
-    """The rule for all quotas.
+    """Limits that apply to all quotas.
 
     In any `window_ms`, all instances together admit at most the rate times the window and the
     burst, this sum times `overshoot` more, and `slack` requests more.
@@ -61,7 +65,7 @@
     slack: float = 0.0
 
     def compute_ceiling(self, team: Team) -> float:
-        """Return the most requests of a team in a window: one at least, else it had no quota."""
+        """Return the maximum number of requests of a team in a window, at least one."""
         return max(1.0, self.compute_quota(team) * (1.0 + self.overshoot) + self.slack)
 
     def compute_quota(self, team: Team) -> float:
@@ -73,11 +77,11 @@
         return max(0.0, self.compute_ceiling(team) - self.compute_quota(team))
 
     def compute_burst(self, team: Team) -> float:
-        """Return the burst that is admitted, at least one request."""
+        """Return the burst that is admitted, in requests, at least one."""
         return max(1.0, team.burst + BURST_SLACK_SHARE * self.compute_slack(team))
 
     def compute_rate_per_s(self, team: Team) -> float:
-        """Return the rate that is admitted."""
+        """Return the rate that is admitted, in requests per second."""
         extra = WINDOW_SLACK_SHARE * self.compute_slack(team)
         return team.rate_per_s + extra * MS_PER_SECOND / self.window_ms
 
@@ -85,8 +89,8 @@
 class QuotaState(NamedTuple):
     """What a decision about a request of a team was based on.
 
-    `known` requests were admitted in the last window by all instances. `reserved` more are kept for
-    the `cut_off` instances.
+    All instances are known to have admitted `known` requests in the last window. `reserved` more
+    are kept for the instances that are cut off, `cut_off` in number.
     """
 
     known: float
@@ -97,7 +101,7 @@
 class _TeamUsage:
     """Use of one team's quota: a token bucket, and the requests of the last window by incarnation.
 
-    `debt` is how many tokens are missing from the full bucket.
+    `debt` is the number of tokens that the bucket lacks until it is full.
     """
 
     def __init__(self, debt: float, now_ms: float) -> None:
@@ -107,7 +111,8 @@
         self.full_ms = now_ms
         self.counts: dict[str, SlidingCount] = {}
         self.next_retry_ms = 0.0
-        # All own requests since the start, and how many of them are reported.
+        # Own requests since the start, and how many of them are reported to all instances and to
+        # those in use; None if a receiver has missed reports.
         self.admitted = 0.0
         self.reported: float | None = 0.0
         self.reported_in_use: float | None = 0.0
@@ -148,7 +153,7 @@
         ]
         return min(releases_ms, default=None)
 
-    def forget_reports(self) -> None:
+    def mark_unreported(self) -> None:
         """Mark the own requests as not reported, if there are any."""
         if self.admitted:
             self.reported = self.reported_in_use = None
@@ -187,7 +192,7 @@
         self._teams = dict(teams)
 
     def set_expected(self, names: Collection[str], now_ms: float) -> None:
-        """Set the instances that this instance supposes to be in use, itself or not."""
+        """Set the instances that are expected to be in use, and update which of them are silent."""
         if not self._is_in_use:
             self._in_use_since_ms = now_ms
         self._is_in_use = self._name in names
@@ -202,7 +207,7 @@
         if self._silent - silent:
             # Those that report again have missed what was reported meanwhile.
             for usage in self._usage.values():
-                usage.forget_reports()
+                usage.mark_unreported()
         self._silent = silent
 
     def _record_activity(self, now_ms: float) -> None:
@@ -211,10 +216,10 @@
         self._active_ms = now_ms
 
     def _compute_timeout_ms(self, now_ms: float) -> float:
-        """Return the age of reports at which their sender may be cut off.
+        """Return the age in ms from which the latest report suggests that its sender is cut off.
 
-        Instances that do not report are sent wide reports only, until the others notice that they
-        do.
+        An instance that is not in use is sent wide reports only, until the others have received its
+        regular reports.
         """
         interval_ms = self.report_interval_ms
         is_known = now_ms - self._active_since_ms >= SETTLING_INTERVALS * interval_ms
@@ -223,9 +228,9 @@
         return (WIDE_REPORT_INTERVALS + 1) * interval_ms
 
     def _may_take_share(self, now_ms: float) -> bool:
-        """Return whether the others know that this instance is in use.
+        """Return whether the other instances can be assumed to know that this one is in use.
 
-        One that is cut off takes the others for gone and itself for in use.
+        An instance that is cut off from most others expects to be in use in their place.
         """
         if now_ms - self._started_ms < START_MS:
             return True
@@ -243,19 +248,19 @@
         return max(REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_INSTANCE_MS * (len(self._in_use) + 1))
 
     def admit(self, team: Team, now_ms: float) -> float:
-        """Count a request and return 0, or return after how many ms a token is expected."""
+        """Admit and count a request and return 0, or return in how many ms a token is expected."""
         if not team.has_quota:
             return 0.0
         usage = self._find_usage(team, now_ms)
         rate_per_s = self.limits.compute_rate_per_s(team)
-        # Tokens of the time since the others' reports may have been used by them.
+        # Other instances may have used the tokens of the time since their latest reports.
         usage.refill(rate_per_s, self._peers.find_covered_ms(now_ms))
         missing = usage.debt + 1.0 - self.limits.compute_burst(team)
         wait_ms = max(0.0, missing) * MS_PER_SECOND / rate_per_s
         state = self._describe(usage, team, now_ms)
         if state.known + state.reserved + 1.0 > self._compute_ceiling(team, state.reserved > 0):
             release_ms = usage.find_release_ms(now_ms)
-            # Without any, the room is kept for others, one of which may serve the request sooner.
+            # Without any, the quota is reserved for others, one of which may admit a retry sooner.
             window_wait_ms = self.report_interval_ms if release_ms is None else release_ms - now_ms
             wait_ms = max(wait_ms, window_wait_ms)
         if wait_ms > 0:
@@ -269,9 +274,9 @@
     def _schedule_retry(
         self, usage: _TeamUsage, wait_ms: float, rate_per_s: float, now_ms: float
     ) -> float:
-        """Return after how many ms a token is expected that no earlier refusal has named.
+        """Return in how many ms a token is expected that no earlier refusal has stated.
 
-        Each instance in use refuses as many requests and names as many tokens as this one.
+        Every instance in use is assumed to refuse as many requests as this one.
         """
         retry_ms = max(now_ms + wait_ms, usage.next_retry_ms)
         retry_ms = min(retry_ms, now_ms + max(wait_ms, self.limits.window_ms))
@@ -279,7 +284,7 @@
         return retry_ms - now_ms
 
     def give_back(self, team: Team, admitted_ms: float, now_ms: float) -> None:
-        """Return the token of a request that was admitted at `admitted_ms` and has not run."""
+        """Put back the token of a request that was admitted at `admitted_ms` and has not run."""
         usage = self._usage.get(team.name)
         if usage is None or not team.has_quota:
             return
@@ -295,7 +300,7 @@
         return self._describe(self._find_usage(team, now_ms), team, now_ms)
 
     def apply(self, sender: str, report: QuotaReport, now_ms: float) -> None:
-        """Count the requests that another instance reports."""
+        """Count the requests that `sender`, another instance, reports."""
         window_ms = self.limits.window_ms
         for change in self._peers.apply(sender, report, window_ms, now_ms):
             team = self._teams.get(change.team)
@@ -339,17 +344,17 @@
         usage.debt = debt
 
     def is_report_urgent(self, team: Team, now_ms: float) -> bool:
-        """Return whether others need to know the requests of the team at once."""
+        """Return whether unreported requests of the team may use up what is left of its burst."""
         usage = self._usage.get(team.name)
         if usage is None:
             return False
         reported = max(usage.reported or 0.0, usage.reported_in_use or 0.0)
         room = self.limits.compute_burst(team) - usage.debt
         senders = len(self.list_receivers(now_ms)) + 1
-        return (usage.admitted - reported) * senders >= PROMPT_ROOM_SHARE * room
+        return (usage.admitted - reported) * senders >= URGENT_BURST_SHARE * room
 
     def has_regular_reports(self, now_ms: float) -> bool:
-        """Return whether this instance reports regularly: it is in use, or was lately."""
+        """Return whether this instance reports: it was in use or admitted a request recently."""
         is_recent = now_ms - self._active_ms < REPORTED_WINDOWS * self.limits.window_ms
         return bool(self._teams) and is_recent
 
@@ -363,7 +368,7 @@
         )
 
     def make_report(self, now_ms: float) -> QuotaReport:
-        """Return a report for the instances in use: what changed since the last one of any kind."""
+        """Return a report for the instances in use: the counts changed since the last report."""
         counts: list[tuple[str, float]] = []
         for name, usage in self._limit_bytes(
             lambda usage: usage.admitted not in (usage.reported, usage.reported_in_use)
@@ -373,7 +378,7 @@
         return self._make_report(counts, now_ms)
 
     def make_wide_report(self, now_ms: float) -> QuotaReport:
-        """Return a report for all instances: what changed since the last one for all."""
+        """Return a report for all instances: the counts changed since the last wide report."""
         for name, usage in list(self._usage.items()):
             usage.remove_empty_counts(now_ms)
             # Own requests stay, for a report counts all since the start.
@@ -422,7 +427,7 @@
         return 1.0 / max(1, in_use)
 
     def _compute_ceiling(self, team: Team, is_cut: bool) -> float:
-        """Return the most requests in a window, fewer while instances are cut off."""
+        """Return the maximum number of admitted requests in a window, lower during a cut."""
         share = CUT_WINDOW_SLACK_SHARE if is_cut else WINDOW_SLACK_SHARE
         slack = share * self.limits.compute_slack(team)
         return max(1.0, self.limits.compute_quota(team) + slack)
--- a/citronpaddle/policy/quotapeers.py
+++ b/citronpaddle/policy/quotapeers.py
@@ -1,8 +1,10 @@
 """The other instances that admit requests of the same teams, by their latest reports.
 
 Every instance reports how many requests of each team it has admitted since its start. A report also
-states the time since that start, from which the receiver computes how long the report has waited on
-its way: after a pause, an instance finds reports that are seconds old. Times are in ms.
+states the time since that start, from which the receiver computes how long the report was delayed:
+after a pause, an instance receives reports that are seconds old. An instance is silent if reports
+do not arrive from it or at it; it may be cut off (partitioned from this one) and still admit
+requests. Times are in ms on one monotonic clock.
 """
 
 from collections.abc import Collection, Iterable
@@ -10,17 +12,20 @@
 from typing import NamedTuple
 
 # A silent instance that is not expected to be in use may still serve callers for this long.
-FORGET_MS = 30_000.0
-# Within this time of its start, an instance has received a report of every instance in use.
+PEER_RETENTION_MS = 30_000.0
+# Within this time after its start, an instance receives a report from every instance in use.
 START_MS = 2_000.0
-# The shortest way of a report is measured over one to two such spans, since clocks drift.
+# The smallest delay of a peer's reports is taken over one to two such spans, since clocks drift.
 DELAY_SPAN_MS = 60_000.0
-# Counts and times (ms) of a report that are as large are malformed.
+# A report with a count or a time (ms) of this size or more is malformed.
 MAX_COUNT = 1e15
 
 
 class Admissions(NamedTuple):
-    """Requests of a team that another instance admitted, `gap_ms` after its report before."""
+    """Requests of a team that another instance admitted in the `gap_ms` since its previous report.
+
+    `count` is negative if requests that were reported before have not run.
+    """
 
     team: str
     count: float
@@ -30,7 +35,8 @@
 class QuotaReport(NamedTuple):
     """One report: the sender's incarnation, the time since its start, and its counts by team.
 
-    `counts` are requests since the start. The sender receives nothing from the instances `missed`.
+    `counts` are requests since the start. The sender receives no reports from the instances
+    `missed`.
     Callers are sent to it if it `is_in_use`.
     """
 
@@ -56,8 +62,8 @@
         self._resumed_ms = now_ms
         self._first_uptime_ms = 0.0
         self._counts: dict[str, float] = {}
-        # The smallest difference between the clocks in the present span and in the one before.
-        self._least_offsets_ms = (inf, inf)
+        # The smallest difference between the clocks in the current span and in the previous one.
+        self._min_offsets_ms = (inf, inf)
         self._span_started_ms = now_ms
 
     def has_reported(self, now_ms: float, timeout_ms: float) -> bool:
@@ -69,14 +75,14 @@
         return not (self._is_receiving and self.has_reported(now_ms, timeout_ms))
 
     def is_connected(self, now_ms: float, timeout_ms: float, settling_ms: float) -> bool:
-        """Return whether reports arrive in both directions, and did for `settling_ms`."""
+        """Return whether reports have arrived in both directions for at least `settling_ms`."""
         is_settled = now_ms - self._resumed_ms >= settling_ms
         return is_settled and not self.is_silent(now_ms, timeout_ms)
 
-    def is_forgotten(self, now_ms: float) -> bool:
-        """Return whether the instance no longer admits requests."""
+    def is_expired(self, now_ms: float) -> bool:
+        """Return whether the instance is assumed not to admit requests any more."""
         seen_ms = max(self.reported_ms, self._created_ms)
-        return not self.is_expected and now_ms - seen_ms >= FORGET_MS
+        return not self.is_expected and now_ms - seen_ms >= PEER_RETENTION_MS
 
     def apply(
         self, report: QuotaReport, own_name: str, window_ms: float, timeout_ms: float, now_ms: float
@@ -87,7 +93,7 @@
             self.incarnation = report.incarnation
             self._counts = {}
             self._first_uptime_ms = report.uptime_ms
-            self._least_offsets_ms = (inf, inf)
+            self._min_offsets_ms = (inf, inf)
         sent_ms = now_ms - self._measure_delay_ms(report.uptime_ms, now_ms)
         gap_ms = min(sent_ms - self.reported_ms, report.uptime_ms)
         # Reports may overtake each other. Counts go down when requests are refused afterwards.
@@ -111,15 +117,15 @@
         return changes
 
     def _measure_delay_ms(self, uptime_ms: float, now_ms: float) -> float:
-        """Return how much longer than the fastest report this one took."""
+        """Return how much longer than the fastest recent report this one took, in ms."""
         offset_ms = now_ms - uptime_ms
-        present_ms, previous_ms = self._least_offsets_ms
+        current_ms, previous_ms = self._min_offsets_ms
         if now_ms - self._span_started_ms >= DELAY_SPAN_MS:
             self._span_started_ms = now_ms
-            present_ms, previous_ms = offset_ms, present_ms
-        present_ms = min(present_ms, offset_ms)
-        self._least_offsets_ms = (present_ms, previous_ms)
-        return offset_ms - min(present_ms, previous_ms)
+            current_ms, previous_ms = offset_ms, current_ms
+        current_ms = min(current_ms, offset_ms)
+        self._min_offsets_ms = (current_ms, previous_ms)
+        return offset_ms - min(current_ms, previous_ms)
 
 
 class QuotaPeers:
@@ -140,7 +146,7 @@
         """Set the instances that this instance supposes to be in use."""
         for name, peer in list(self._peers.items()):
             peer.is_expected = name in names
-            if peer.is_forgotten(now_ms):
+            if peer.is_expired(now_ms):
                 del self._peers[name]
         for name in names:
             if name != self._own_name and name not in self._peers:
@@ -150,8 +156,8 @@
     def list_in_use(self, now_ms: float) -> list[str]:
         """Return the names of the instances in use, those that are cut off included.
 
-        What an instance reports of itself takes precedence. Those that are expected to be in use,
-        and have not reported, count only shortly after the start, or if no instance has reported.
+        What an instance reports of itself takes precedence. Instances that are expected to be in
+        use and have never reported count only for `START_MS`, or if no instance has reported.
         """
         is_starting = now_ms - self._started_ms < START_MS
         is_alone = not any(peer.incarnation for peer in self._peers.values())
@@ -224,6 +230,6 @@
 
 
 def is_valid(report: QuotaReport) -> bool:
-    """Return whether all numbers of a report are possible ones."""
+    """Return whether all numbers of a report are finite and below `MAX_COUNT` in size."""
     numbers = [report.uptime_ms, *(count for _, count in report.counts)]
     return all(isfinite(number) and -MAX_COUNT < number < MAX_COUNT for number in numbers)
