State how a roll-out bounds, judges and replaces versions

Cause: the comments of the roll-out did not define a bad call, called barred versions those that were not found good, although replaced ones are barred too, and named the slack of the exposure in two ways.

Change: comments and docstrings of rollout, judgement, exposure and versions are reworded, with units. Local names: CALLS_PER_COMPARISON, MAX_BAD_OF_FEW_CALLS, _may_call_target. No change of behaviour.

--- a/citronpaddle/policy/exposure.py
+++ b/citronpaddle/policy/exposure.py
@@ -1,22 +1,23 @@
-"""Bounds the calls to a version under trial, summed over all instances without messages.
+"""Bounds the calls of all instances to a version under trial, without messages between them.
 
-Of all requests that reach a service, the version may get a share and a fixed number beside it. Each
-instance stays within that share of the calls that its own upstreams have answered, so that the sum
-over any set of instances, in touch or not, stays within it too. The fixed number is divided.
+The version may get a share of all requests that reach its service, plus a fixed number, the slack.
+Each instance stays within that share of the calls that its own upstreams have answered, so that the
+sum over any set of instances, connected or not, stays within it too. The slack is divided among the
+instances.
 """
 
 from typing import NamedTuple
 
-# Share of the calls allowed that is used: some calls count here and reach no upstream.
+# Share of the allowed calls that is used: some calls are counted here and reach no upstream.
 USED_SHARE = 0.9
-# Share of the fixed number that is divided among the instances. The rest covers instances that
-# have an outdated view of how many they are, and calls from before the order was known.
+# Share of the slack that is divided among the instances. The rest covers instances with an outdated
+# membership view, and calls from before the order was known.
 USED_SLACK = 0.5
-# Share of the fixed number that may be used at once. The rest becomes available evenly over the
+# Share of the divided slack that may be used at once. The rest becomes available evenly over the
 # roll-out, so that a version that turns bad late is still called on a service with little load.
 FIRST_SLACK = 0.3
-# Share of the calls allowed that a trial uses. The rest is saved for the move, which puts the
-# version under the full load before the other versions stop.
+# Share of the allowed calls that is used before the move. The rest is saved for the move, which
+# puts the version under the full load before the other versions stop.
 TRIAL_SHARE = 0.4
 
 
@@ -33,8 +34,8 @@
     def __init__(self, limits: ExposureLimits, slack_share: float, rounding: float) -> None:
         """Set this instance's share of the slack, and its `rounding`, from 0 to 1.
 
-        Most instances may send less than one call. Their roundings are spread evenly over 0 to 1,
-        so that the sum of the rounded numbers is near the sum of the exact ones.
+        With many instances, the share of each is less than one call. Their roundings are spread
+        evenly over 0 to 1, so that the sum of the rounded numbers is near that of the exact ones.
         """
         self._limits = limits
         self._slack = USED_SLACK * limits.slack * slack_share
@@ -45,7 +46,7 @@
     def permits(self, is_moving: bool, elapsed_share: float) -> bool:
         """Return whether one more call may go to the version under trial.
 
-        `elapsed_share` is the share of the roll-out's time that has passed.
+        `elapsed_share` is the share (0 to 1) of the roll-out's duration that has passed.
         """
         slack = self._slack * min(1.0, FIRST_SLACK + (1.0 - FIRST_SLACK) * elapsed_share)
         used_share = USED_SHARE * (1.0 if is_moving else TRIAL_SHARE)
--- a/citronpaddle/policy/judgement.py
+++ b/citronpaddle/policy/judgement.py
@@ -1,8 +1,9 @@
 """Judges a new version of a service by the calls to it and to the other versions.
 
-Calls are compared only within a stratum: the same span of time, route and distance. A burst or an
-outage affects the calls to all versions alike, so that it is no evidence. The comparison over all
-strata is the test of Cochran, Mantel and Haenszel, one-sided.
+A call is bad if it has failed, was cancelled late or was much slower than the baseline. Calls are
+compared only within a stratum: the same span of time, route and distance (own or another failure
+domain). A burst or an outage affects the calls to all versions alike and thus does not count
+against one. The strata are combined by a one-sided Cochran-Mantel-Haenszel test.
 """
 
 from collections.abc import Iterable
@@ -10,21 +11,24 @@
 from typing import NamedTuple
 
 # Length of a span, and the number of spans for which calls are kept. Bursts and outages last a few
-# seconds; over minutes, good results would outweigh those of a version that turns bad.
+# seconds; over minutes, earlier good results would outweigh those of a version that turns bad.
 SPAN_MS = 1_000.0
 MAX_SPANS = 32
 # The newest spans are also judged alone, to find a version that has just turned bad.
 RECENT_SPANS = 6
 # Calls to other versions that a stratum needs; with fewer, those of the adjacent spans are added.
 MIN_OTHER_CALLS = 3
-# The spans that have to show a fault, each by this excess of bad calls. A burst or an outage that
-# begins within a span affects the later calls in it, of which by chance more may be the target's.
+# Minimum number of spans with an excess of bad calls, and that excess in calls. When a burst or an
+# outage begins within a span, by chance most of the later calls may be the target's.
 MIN_BAD_SPANS = 2
 MIN_SPAN_EXCESS = 0.5
 
 
 class Stratum(NamedTuple):
-    """Calls that are comparable; `span` numbers the spans of the wall clock."""
+    """Calls that are comparable; `span` is the Unix time divided by `SPAN_MS`.
+
+    `is_remote` tells whether the upstream is in another failure domain than the caller's instance.
+    """
 
     span: int
     route: str
@@ -109,10 +113,11 @@
 
 
 class Comparison(NamedTuple):
-    """Sums over strata; `expected` and `variance` are those of the bad calls of an equal version.
+    """Sums over strata of the calls to the target version and of the bad ones.
 
-    Only strata with calls to both sides count, each by its `weight`. `bad_spans` are the spans with
-    an excess of bad calls.
+    `expected` and `variance` are those of the bad calls if the versions are equally good. Only
+    strata with calls to both sides count, each by its `weight`. `bad_spans` is the number of spans
+    with an excess of bad calls.
     """
 
     calls: int = 0
@@ -140,7 +145,7 @@
     @property
     def score(self) -> float:
         """Return by how many standard deviations the bad calls exceed the expected ones."""
-        # The half is the usual correction for continuity.
+        # The half is the continuity correction.
         excess = self.bad - self.expected - 0.5
         return excess / sqrt(self.variance) if self.variance > 0 else 0.0
 
@@ -151,9 +156,10 @@
 
 
 class Thresholds(NamedTuple):
-    """The least numbers for a bad version, which has to reach all; `score` in standard deviations.
+    """Minimum values of a comparison; a version is bad if it reaches all of them.
 
-    `bad` counts calls, `difference` is that of the shares of bad calls.
+    `bad` is a number of calls, `score` is in standard deviations, and `difference` is that between
+    the shares (0 to 1) of bad calls.
     """
 
     bad: int
@@ -161,14 +167,14 @@
     difference: float
 
 
-# While a roll-out runs it is judged several times a second, by route and time, so that chance must
-# be excluded more strictly than in the one judgement that ends it.
+# A running roll-out is judged several times a second and by many subsets of its calls, so that a
+# false positive is more likely than in the one judgement at its end.
 RUNNING_THRESHOLDS = Thresholds(bad=4, score=4.0, difference=0.1)
 FINAL_THRESHOLDS = Thresholds(bad=3, score=2.3, difference=0.05)
 
 
 class Finding(NamedTuple):
-    """Why a version is bad: the comparison and the calls it is made of."""
+    """Why a version is bad: the comparison, and a description of the calls that it covers."""
 
     scope: str
     comparison: Comparison
--- a/citronpaddle/policy/rollout.py
+++ b/citronpaddle/policy/rollout.py
@@ -1,9 +1,10 @@
 """One roll-out: moves the requests of a service to upstreams of another version, step by step.
 
-In the trial a bounded share of the calls goes to the target version. Shortly before the end most
-calls move there, as far as the bound allows, so that the version is seen under load and the other
-upstreams, which stop at once when the roll-out succeeds, have little left in progress. All
-instances judge from the counts of all; one of them writes the decision. Times are in ms.
+In the trial a bounded share of the calls goes to the target version. In the move, shortly before
+the end, most calls go there as far as the bound allows, so that the version is compared under load
+and few calls are in progress at the other upstreams, which stop at once when the roll-out succeeds.
+Every instance judges the version by the counts of all; one of them writes the decision. Times are
+in ms.
 """
 
 from collections.abc import Collection
@@ -23,23 +24,25 @@
 )
 from .registry import Upstream
 
-# How long before the deadline the decision is written: an instance sees the order late by up to one
-# interval of the watch, and another one may have to take over the write.
+# How long before the deadline the decision is written: an instance reads the order up to one
+# interval of the watch late, and another one may have to take over the write.
 DECISION_LEAD_MS = 3_000.0
-# How long the move takes: all instances learn of it, calls to the other versions end, and what the
-# target version did under the load is reported. It lasts as long if it begins late, and all
-# instances must have been in touch with the store as long, for one may know of a fault.
+# Minimum duration of the move, in which all instances learn of it, calls to the other versions end
+# and the results of the target version under load are reported. The decision also waits this long
+# after a suspension: another instance may have found a fault meanwhile.
 MOVE_MS = 3_000.0
-# Upper bound of each of these two times as a share of a short roll-out.
+# Upper bound of each of these two times as a share of the duration of the roll-out.
 MAX_STEP_SHARE = 0.3
 # During the move, one call in this many still goes to the other versions, for comparison.
-COMPARED_EVERY = 5
-# A version with fewer calls than this cannot be compared: it succeeds with at most `MAX_FEW_BAD`.
+CALLS_PER_COMPARISON = 5
+# A version with fewer calls than `MIN_CALLS` cannot be compared: it succeeds with at most
+# `MAX_BAD_OF_FEW_CALLS` bad ones.
 MIN_CALLS = 10
-MAX_FEW_BAD = 1
-# The target's upstreams need this share of the other upstreams' slots: those stop on success.
+MAX_BAD_OF_FEW_CALLS = 1
+# Minimum slots of the target's upstreams, as a share of those of the other upstreams, which stop
+# when the roll-out succeeds.
 MIN_CAPACITY_SHARE = 0.5
-# A call this many times slower than the baseline latency of its route is bad.
+# A call that takes at least this multiple of the baseline latency of its route is bad.
 SLOW_FACTOR = 2.5
 
 
@@ -52,7 +55,7 @@
 
 
 class RolloutState(StrEnum):
-    """The state of a roll-out that the operator is told."""
+    """The state of a roll-out that is reported to the operator."""
 
     RUNNING = "running"
     SUCCEEDED = "succeeded"
@@ -69,9 +72,9 @@
 class RolloutRecord(NamedTuple):
     """What the instances share about a running roll-out, beside its status.
 
-    `duration_ms` tells the order from others to the same version, `started_ms` is Unix time.
+    `duration_ms` tells the order from others to the same version, `started_ms` is Unix time in ms.
     `other_versions` are those that the service had at the start, `barred_versions` those that
-    earlier orders named and that were not found good.
+    earlier roll-outs have rejected or replaced.
     """
 
     target_version: str
@@ -96,7 +99,7 @@
 
     NONE = "none"
     START = "start"
-    # The store has lost what this instance knows: it is written again.
+    # The store has lost the shared state: it is written again.
     RESTORE = "restore"
     MOVE = "move"
     SUCCEED = "succeed"
@@ -121,25 +124,25 @@
 class Rollout:
     """One instance's view of a roll-out.
 
-    `state` is None until it was written or read. `is_suspended` is set while the store does not
-    answer: then a decision could be missed. `has_fault` is set once this instance has judged the
-    target version as bad; it sends no more calls there, before the decision is shared.
+    `state` is None until it is written or read. `is_suspended` is set while the store does not
+    answer, so that a decision could be missed. `has_fault` is set once this instance has judged the
+    target version as bad; it then sends no more calls there, even before the decision is shared.
     """
 
     order: RolloutOrder
     exposure: Exposure
     state: RolloutState | None = None
     is_moving: bool = False
-    # The times from the order to the move, and to the end of the last suspension.
+    # The times in ms from the order to the move, and to the end of the last suspension.
     moved_after_ms: float = 0.0
     resumed_after_ms: float = 0.0
     is_suspended: bool = False
     has_fault: bool = False
-    # The share of its time that had passed at the last review.
+    # The share of its duration (0 to 1) that had passed at the last review.
     elapsed_share: float = 0.0
-    # The versions to be replaced; upstreams of the target version are used freely without any.
+    # The versions to be replaced; without any, calls to the target version are not limited.
     other_versions: set[str] = field(default_factory=set)
-    # The versions that get no calls: earlier orders named them, and they were not found good.
+    # The versions that get no calls: earlier roll-outs have rejected or replaced them.
     barred_versions: set[str] = field(default_factory=set)
     tally: Tally = field(default_factory=Tally)
     peer_tallies: dict[str, Tally] = field(default_factory=dict)
@@ -169,7 +172,7 @@
     ) -> tuple[tuple[Upstream, ...], ...]:
         """Return the upstreams that may get the next call, in groups, the preferred one first.
 
-        A retry or a hedge goes to the other versions: a route limits how often a request is tried.
+        A retry or a hedge prefers the other versions, since a route limits the calls of a request.
         """
         if self.barred_versions:
             upstreams = tuple(one for one in upstreams if one.version not in self.barred_versions)
@@ -181,14 +184,14 @@
             return (others,)
         if not others and not self.other_versions:
             return (upstreams,)
-        if self.has_fault or self.is_suspended or not self._may_try():
+        if self.has_fault or self.is_suspended or not self._may_call_target():
             return (others,)
         targets = tuple(one for one in upstreams if one.version == target)
-        if tried or (self.is_moving and self._calls % COMPARED_EVERY == 0):
+        if tried or (self.is_moving and self._calls % CALLS_PER_COMPARISON == 0):
             return others, targets
         return targets, others
 
-    def _may_try(self) -> bool:
+    def _may_call_target(self) -> bool:
         return self.exposure.permits(self.is_moving, self.elapsed_share)
 
     def list_barred(self) -> set[str]:
@@ -204,7 +207,7 @@
             self.exposure.sent += 1
 
     def record_answer(self, upstream: Upstream, stratum: Stratum, is_bad: bool) -> None:
-        """Record that an upstream has received a call, and whether the result was bad."""
+        """Record that an upstream has received a call, and whether its result is bad."""
         self.exposure.answered += 1
         if upstream.version == self.order.target_version:
             counts = CallCounts(target=1, target_bad=is_bad)
@@ -216,12 +219,12 @@
         self.tally.add(stratum, counts)
 
     def set_peer_tallies(self, tallies: dict[str, Tally]) -> None:
-        """Set the calls of the other instances."""
+        """Set the tallies of the other instances, by instance."""
         self.peer_tallies = tallies
         self._is_judged = False
 
     def merge_tallies(self, newest_span: int) -> Tally:
-        """Return the calls of all instances, without those that are too old."""
+        """Return the calls of all instances in the newest `MAX_SPANS` spans."""
         self.tally.remove_old_spans(newest_span)
         merged = Tally(self.tally.list_rows())
         for tally in self.peer_tallies.values():
@@ -230,7 +233,7 @@
         return merged
 
     def judge(self, newest_span: int) -> Finding | None:
-        """Judge the target version by the calls so far; stop calling it if it is bad."""
+        """Judge the target version by the calls of all instances; set `has_fault` if it is bad."""
         # Without calls to the target nothing is judged, but those to other versions are counted.
         self.tally.remove_old_spans(newest_span)
         if not self._is_judged:
@@ -273,6 +276,6 @@
             return Decision(Step.ROLL_BACK, f"bad on {finding.scope}")
         if not total.target and total.other and self.other_versions:
             return Decision(Step.ROLL_BACK, "no call reached the target version")
-        if total.target < MIN_CALLS and total.target_bad > MAX_FEW_BAD:
+        if total.target < MIN_CALLS and total.target_bad > MAX_BAD_OF_FEW_CALLS:
             return Decision(Step.ROLL_BACK, "bad on the few calls that reached it")
         return Decision(Step.SUCCEED, "as good as the other versions")
--- a/citronpaddle/policy/versions.py
+++ b/citronpaddle/policy/versions.py
@@ -1,4 +1,7 @@
-"""Which upstreams of a service may get the next call, by the versions of their software."""
+"""Selects the upstreams of a service that may get the next call, by their software versions.
+
+Times are in ms on one monotonic clock; `wall_ms` is Unix time in ms.
+"""
 
 from abc import ABC, abstractmethod
 from collections import Counter
@@ -8,7 +11,8 @@
 from .registry import Upstream
 from .rollout import SLOW_FACTOR, Rollout
 
-# Calls that count as recent when an order becomes known: about as long as that takes.
+# Calls up to this age count as recent: an instance learns of an order about this long after it was
+# given.
 RECENT_CALLS_MS = 2_000.0
 # Replies on a route from which its baseline latency is reliable.
 MIN_BASELINE_REPLIES = 20
@@ -67,8 +71,8 @@
 class RolloutRouting(VersionRouting):
     """Routes by the roll-outs in `rollouts`, by service.
 
-    `barred` are versions, by service, that an order names which cannot be followed. They get no
-    calls while the service has others.
+    `barred` has, by service, the version that an invalid order names. It gets no calls while the
+    service has upstreams of other versions.
     """
 
     def __init__(self, domain: str) -> None:
@@ -80,11 +84,11 @@
         self._replies: Counter[str] = Counter()
 
     def set_time(self, wall_ms: float) -> None:
-        """Set the span of time to which results are counted."""
+        """Set the span in which the next results are counted, by the Unix time."""
         self.span = int(wall_ms // SPAN_MS)
 
     def count_recent(self, service: str, version: str, now_ms: float) -> int:
-        """Return the recent calls to upstreams of a version."""
+        """Return the number of recent calls to upstreams of a version."""
         recent = self._recent.get((service, version))
         return recent.count(now_ms) if recent is not None else 0
 
@@ -111,7 +115,7 @@
 
     def record_reply(self, upstream: Upstream, route: str, slowness: float, now_ms: float) -> None:
         self._replies[route] += 1
-        # A cold upstream is slow, whatever its version, and any may be while the baseline is new.
+        # A cold upstream is slow whatever its version, and a new baseline is not reliable.
         is_slow = slowness >= SLOW_FACTOR and upstream.cold_until_ms <= now_ms
         self._record(upstream, route, is_slow and self._replies[route] >= MIN_BASELINE_REPLIES)
 
@@ -131,7 +135,7 @@
 
 
 class _RecentCalls:
-    """Counts the calls of the newest `RECENT_CALLS_MS` to twice that."""
+    """Counts the calls of the last `RECENT_CALLS_MS`, and of up to as long before."""
 
     __slots__ = ("_started_ms", "_current", "_previous")
 
