Describe the queues of a service in terms of fair queueing

Cause: a part had a turn, an answer was worth its room and a queue answered a load; a reader had to guess that a concurrency limit and fair queueing are meant, and which times are points and which are delays.

No change of behaviour.

--- a/citronpaddle/policy/demand.py
+++ b/citronpaddle/policy/demand.py
@@ -1,4 +1,4 @@
-"""Whose request waits for room, which decides its place among others."""
+"""Demand: the priority, team and weight that order a request among others that wait."""
 
 from typing import NamedTuple
 
@@ -8,8 +8,8 @@
 class Demand(NamedTuple):
     """Whose request it is: its priority (lower is more urgent), team and the team's weight.
 
-    `team` is empty where callers are not identified. When room is short, teams of equal priority
-    share it in proportion to their weights.
+    `team` is empty where callers are not identified. When capacity is short, teams of equal
+    priority share it in proportion to their weights.
     """
 
     priority: int = 0
@@ -20,8 +20,8 @@
 def make_demand(route: Route, team: Team | None, catalog: Catalog) -> Demand:
     """Return the demand of a request; a team's priority precedes that of the route.
 
-    The weight is the rate of the team's quota, which all instances know; a team without one weighs
-    as much as the mean of those with a quota.
+    The weight is the rate of the team's quota, which all instances know; that of a team without a
+    quota is the mean rate of all quotas.
     """
     if team is None:
         return Demand(route.priority)
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -369,7 +369,7 @@
     def _start_call(self, index: int, now_ms: float, reason: str, actions: list[Action]) -> None:
         """Call an upstream for this part; the part waits if none has capacity."""
         part = self._parts[index]
-        if not self._queue.has_turn(part, now_ms):
+        if not self._queue.may_call(part, now_ms):
             self._finish_if_refused(part, now_ms)
             return
         reservation, part.reservation = part.reservation, None
--- a/citronpaddle/policy/partqueue.py
+++ b/citronpaddle/policy/partqueue.py
@@ -1,4 +1,4 @@
-"""The places of one request's parts in the queues of their services.
+"""Queues the parts of one request for capacity at their services.
 
 Times are in ms on one monotonic clock.
 """
@@ -24,9 +24,9 @@
         end_ms: float,
         on_resume: Callable[[], None],
     ) -> None:
-        """An answer is in time until `in_time_ms`, and of no use after `end_ms`.
+        """Set until when an answer is in time (`in_time_ms`) and of any use (`end_ms`).
 
-        `on_resume` is called when a part may be called, or has no more chance to be.
+        `on_resume` is called when the first call of a part may start, or the part is refused.
         """
         self._sharing = sharing
         self._demand = demand
@@ -34,10 +34,10 @@
         self._end_ms = end_ms
         self._on_resume = on_resume
 
-    def has_turn(self, part: Part, now_ms: float) -> bool:
-        """Return whether a part may be called; else it waits in the queue, or is refused.
+    def may_call(self, part: Part, now_ms: float) -> bool:
+        """Return whether a part may be called now; else it waits in the queue, or is refused.
 
-        A reserved permit is a turn.
+        A part with a reserved permit or an earlier call does not queue.
         """
         if part.calls > 0 or part.reservation is not None:
             return True
@@ -46,13 +46,13 @@
         self.join(part, now_ms)
         if self.is_refused(part, now_ms):
             return False
-        if self._sharing.is_turn(part.ticket, now_ms):
+        if self._sharing.may_start(part.ticket, now_ms):
             return True
         part.resume_ms = part.ticket.end_ms
         return False
 
     def join(self, part: Part, now_ms: float) -> None:
-        """Queue a part, unless it waits already or nothing is queued."""
+        """Queue a part, unless it waits already or queueing is disabled."""
         if part.ticket is None and self._sharing.is_enabled:
             part.ticket = self._sharing.join(
                 part.service,
@@ -64,7 +64,7 @@
             )
 
     def is_refused(self, part: Part, now_ms: float) -> bool:
-        """Return whether a queued part has no chance of an answer in time any more."""
+        """Return whether a queued part was refused, or its deadline has passed."""
         ticket = part.ticket
         return ticket is not None and (ticket.shortage is not None or now_ms >= ticket.end_ms)
 
--- a/citronpaddle/policy/parts.py
+++ b/citronpaddle/policy/parts.py
@@ -12,10 +12,11 @@
 
 @dataclass(slots=True)
 class Part:
-    """The calls of one part, and what is known of its end.
+    """The state of one part: its calls, its reply or the reason why it has none.
 
     It has a reply, or waits for one of its open calls, for its turn or until `resume_ms`, or it is
-    done without a reply; then `last_failure` has the reason.
+    done without a reply; then `last_failure` has the reason. `rejections` counts the latest
+    rejections in a row.
     """
 
     service: str
--- a/citronpaddle/policy/servedcounts.py
+++ b/citronpaddle/policy/servedcounts.py
@@ -8,12 +8,12 @@
 
 from .demand import Demand
 
-# A priority or team that is served less than this share as often as all goes first. Callers need a
-# quarter at least; the reserve covers what is counted late.
+# A priority or team goes first if its share of served parts is below this multiple of that of all
+# parts. At least a quarter is required; the margin covers parts that are counted late.
 MIN_SERVED_SHARE = 0.35
 # Half-life of the counts of served and refused parts.
 _COUNTS_HALF_LIFE_MS = 5_000.0
-# The counts decay at most this often.
+# Minimum interval between two updates of the decay.
 _DECAY_INTERVAL_MS = 250.0
 
 
@@ -37,7 +37,7 @@
             self._refused[key] += 1.0
 
     def is_underserved(self, demand: Demand) -> bool:
-        """Return whether its priority or its team is served much less often than all."""
+        """Return whether the priority or the team is served much less often than all parts."""
         everything, *groups = _list_groups(demand)
         least = MIN_SERVED_SHARE * self._compute_served_share(everything)
         return any(self._compute_served_share(key) < least for key in groups)
@@ -57,7 +57,7 @@
 
 
 def _list_groups(demand: Demand) -> tuple[int | str | None, ...]:
-    """Return the keys under which a part is counted: of all parts, its priority and its team."""
+    """Return the keys under which a part is counted: None (all parts), its priority, its team."""
     if demand.team:
         return None, demand.priority, demand.team
     return None, demand.priority
--- a/citronpaddle/policy/sharing.py
+++ b/citronpaddle/policy/sharing.py
@@ -1,16 +1,16 @@
-"""Orders the parts of requests that wait for room at a service, and refuses those too late.
-
-A service is congested while a part waits for room at its upstreams, or while its upstreams reject
-calls for lack of capacity. First calls to it then start in order of priority; teams of equal
-priority share the starts in proportion to their weights (start-time fair queueing). A kind of
-request or a team that is refused much more often than the others goes first, so that none starves.
-A part whose answer would come after the deadline is refused at once; while a service has been
-congested for longer than a short burst, also one whose answer would miss the objective: a late
-answer would only make the next ones late as well.
-
-The load it answers: more requests than the service can run, be it a burst of all callers, one
-team's or slow upstreams. Without congestion every first call starts at once, as if there were no
-queue. Times are in ms on one monotonic clock.
+"""Queues the parts of requests that wait for capacity at a service, and refuses those too late.
+
+A service is congested while a part waits for room (spare capacity) at its upstreams, or while its
+upstreams reject calls for lack of capacity. First calls to it then start in order of priority;
+teams of equal priority share the starts in proportion to their weights (start-time fair queueing).
+A priority or a team that is refused much more often than the others goes first, so that none
+starves. A part whose answer would come after the deadline is refused at once. When a service has
+been congested for longer than a short burst, so is one whose answer would miss the objective: a
+late answer would only delay the next ones.
+
+This handles more requests than the service can run: a burst of all callers or of one team, or slow
+upstreams. Without congestion every first call starts at once, without queueing. Times are in ms on
+one monotonic clock.
 """
 
 import bisect
@@ -24,12 +24,12 @@
 from .demand import Demand
 from .servedcounts import ServedCounts
 
-# Parts that have waited in a row for longer than this are no short burst.
+# Up to this time after parts began to wait, congestion counts as a short burst.
 _SHORT_BURST_MS = 1_000.0
 # Weight of a new observation in the moving average of answer times.
 _ANSWER_WEIGHT = 0.2
-# Factor by which earlier starts count less with each further one: parts often start in groups, when
-# several calls end together.
+# Decay of the earlier starts with each further one, in the mean interval: parts often start in
+# groups, when several calls end together.
 _START_DECAY = 0.95
 # Bounds of the retry delay that is sent to a refused caller.
 _MIN_RETRY_MS = 100.0
@@ -43,10 +43,10 @@
 
 
 class Shortage(NamedTuple):
-    """Why a part was refused: it would have started in `wait_ms` and had `left_ms` to do so.
+    """Why a part was refused: it was expected to start in `wait_ms`, but had only `left_ms`.
 
-    `ahead` parts were before it, one of which started every `start_interval_ms`, and an answer took
-    `answer_ms`. `limit` is the limit of open calls after rejections, or None.
+    `ahead` parts were before it, one of which started every `start_interval_ms` on average, and an
+    answer took `answer_ms`. `limit` is the limit of open calls after rejections, or None.
     """
 
     service: str
@@ -62,8 +62,9 @@
 class Ticket:
     """A part that waits for room at `service`.
 
-    Its answer is in time until `in_time_ms`, and of no use after `end_ms`. `shortage` is set when
-    it is refused; it may be retried after `retry_ms`.
+    Its answer is in time until `in_time_ms`, and of no use after `end_ms`, both points in time.
+    `shortage` is set when it is refused; it may be retried after `retry_ms`, a delay. `wake` is
+    called when the part may be next or is refused.
     """
 
     service: str
@@ -78,12 +79,12 @@
 
     @property
     def group(self) -> _Group:
-        """Return the priority and the team, whose parts start in the order of their arrival."""
+        """Return the priority and the team; parts of one group start in order of arrival."""
         return self.demand.priority, self.demand.team
 
     @property
     def virtual_start(self) -> float:
-        """Return the place of the part among those of its priority, in shares of the teams."""
+        """Return the virtual start time of the part in the fair queue of its priority."""
         return self.order[2]
 
 
@@ -129,10 +130,10 @@
         self._virtual_finish: dict[_Group, float] = {}
 
     def is_congested(self, now_ms: float) -> bool:
-        """Return whether first calls must queue."""
+        """Return whether first calls to the service must queue."""
         return bool(self.waiting) or self.limit.read(now_ms) is not None
 
-    def is_turn(self, ticket: Ticket, now_ms: float) -> bool:
+    def may_start(self, ticket: Ticket, now_ms: float) -> bool:
         """Return whether the part is the next one to start, and the limit permits it."""
         limit = self.limit.read(now_ms)
         is_first = bool(self.waiting) and self.waiting[0] is ticket
@@ -194,7 +195,8 @@
         last_kept: dict[_Group, Ticket] = {}
         for ticket in self.waiting:
             group = ticket.group
-            # Others may still come before a team that is ahead of its share: its own rate counts.
+            # Later arrivals of other teams may go before a team that exceeds its share, so the rate
+            # of its own starts counts too.
             start_rate = self._start_rates.get(group)
             own_wait_ms = kept_by_team[group] * start_rate.interval_ms if start_rate else 0.0
             wait_ms = max(len(kept) * interval_ms, own_wait_ms)
@@ -223,8 +225,8 @@
         return refused
 
     def _estimate_interval_ms(self, now_ms: float) -> float:
-        """Return the interval between starts, or for how long none has started against it."""
-        # Calls that are open end within an answer time, and then parts start.
+        """Return the expected interval between starts, or the time by which one is overdue."""
+        # Open calls end within an answer time, and then parts start.
         stalled_ms = (
             now_ms - max(self._start_rate.started_ms, self._busy_since_ms) - self._answer_ms
         )
@@ -232,16 +234,16 @@
         return max(self._start_rate.interval_ms or expected_ms, stalled_ms)
 
     def _find_end_ms(self, ticket: Ticket, now_ms: float) -> float:
-        """Return until when an answer is worth its room."""
+        """Return until when an answer justifies a call: the deadline or the soft deadline."""
         is_short_burst = now_ms - self._busy_since_ms <= _SHORT_BURST_MS
         # Where answers alone take longer than the objective, none is in time; a late one is better.
         is_always_late = ticket.joined_ms + self._answer_ms > ticket.in_time_ms
         return ticket.end_ms if is_short_burst or is_always_late else ticket.in_time_ms
 
     def _record_refusals(self, refused: list[Ticket], last_kept: dict[_Group, Ticket]) -> None:
-        """Count refused parts, which take nothing of their teams' shares.
+        """Count refused parts, and remove them from the virtual time of their teams.
 
-        `last_kept` has the last waiting part by priority and team; later ones follow it.
+        `last_kept` has the last waiting part by priority and team, after which later ones queue.
         """
         for ticket in reversed(refused):
             demand = ticket.demand
@@ -256,7 +258,7 @@
 class Sharing:
     """The queues of all services at this instance.
 
-    They are used if `is_enabled`: without teams there is nothing to share between.
+    Parts are queued only if `is_enabled`: without teams there are no shares.
     """
 
     def __init__(self, is_enabled: bool = False) -> None:
@@ -278,7 +280,7 @@
         wake: Callable[[], None],
         now_ms: float,
     ) -> Ticket:
-        """Queue a part that has just arrived, and refuse those that now start too late.
+        """Queue a part that has just arrived, and refuse the parts that would now start too late.
 
         Its answer is in time until `in_time_ms` and of no use after `end_ms`. `wake` is called when
         the part may be next, or is refused; it must not change the queue.
@@ -289,10 +291,10 @@
         self._refuse_late(state, now_ms)
         return ticket
 
-    def is_turn(self, ticket: Ticket, now_ms: float) -> bool:
+    def may_start(self, ticket: Ticket, now_ms: float) -> bool:
         """Return whether a waiting part may start now, if an upstream has room."""
         state = self._services.get(ticket.service)
-        return state is not None and state.is_turn(ticket, now_ms)
+        return state is not None and state.may_start(ticket, now_ms)
 
     def start(self, ticket: Ticket, now_ms: float) -> None:
         """Remove a part that starts, and wake the next one."""
--- a/citronpaddle/policy/slidingcount.py
+++ b/citronpaddle/policy/slidingcount.py
@@ -1,19 +1,19 @@
-"""Number of events in a sliding window. Times are in ms on one monotonic clock."""
+"""Counts events in a sliding window. Times are in ms on one monotonic clock."""
 
 from collections import deque
 
-# An event counts for up to one slice longer than the window, never shorter.
+# Resolution of the window: an event counts for up to one slice longer than it, never shorter.
 SLICES_PER_WINDOW = 50
 
 
 class SlidingCount:
-    """Counts events of the last window by slices of a fiftieth of it."""
+    """Counts the events of the last window in `SLICES_PER_WINDOW` slices of equal length."""
 
     __slots__ = ("_slice_ms", "_slices", "_total")
 
     def __init__(self, window_ms: float) -> None:
         self._slice_ms = window_ms / SLICES_PER_WINDOW
-        # Pairs of a slice's number and its events, the oldest first.
+        # Pairs of a slice's number and its count of events, the oldest first.
         self._slices: deque[tuple[int, float]] = deque()
         self._total = 0.0
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -289,9 +289,9 @@
     """
     sharing = Sharing(is_enabled=True)
     lost = sharing.join("s0", Demand(), 500.0, 1_000.0, lambda: None, 0.0)
-    assert sharing.is_turn(lost, 0.0)
+    assert sharing.may_start(lost, 0.0)
     next_one = sharing.join("s0", Demand(), 2_500.0, 3_000.0, lambda: None, 2_000.0)
-    assert lost.shortage and sharing.is_turn(next_one, 2_000.0)
+    assert lost.shortage and sharing.may_start(next_one, 2_000.0)
 
 
 def test_nothing_waits_below_capacity():
