Define the pace, the probe and the stated timeout

Cause: the pace is an adaptive concurrency limit, but its module did not say so; a probe was a call that shows a recovery; callers made statements, and some comments did not say what a constant bounds.

Change: comments and docstrings of pace, upstreamstats, callertimes, exchange, partialanswers, feed and registry are reworded, with the meaning of the store's era. Local names: MIN_SERVICE_REJECTIONS, REMOVED_RETENTION_MS, _record_removal. No change of behaviour.

--- a/citronpaddle/policy/callertimes.py
+++ b/citronpaddle/policy/callertimes.py
@@ -1,28 +1,29 @@
-"""Time of a request's objective that passes outside this instance.
+"""Estimates the part of a request's objective that passes outside this instance.
 
-Callers measure from before they look up an address and connect. A caller that states how long it
-will wait counts that time down, so that its statement shows how much has passed. Times are in ms.
+Callers measure the objective from before they look up an address and connect. A caller may state
+its remaining timeout with the request; its difference from the full timeout, on which the callers
+of a route agree, is the time that has passed. Times are in ms.
 """
 
 from collections import deque
 
 from .catalog import Route
 
-# The last statements of a route's callers that are kept, how many of them must agree on the full
-# time, and within which tolerance: callers round it, and one that waits longer proves nothing.
+# Number of the latest stated timeouts that are kept by route.
 STATEMENT_COUNT = 32
+# How many of them must agree on the full timeout, and within which tolerance, since callers round
+# it: a single caller may have a longer timeout than the others.
 MIN_AGREEING = 2
-# With fewer statements the longest one counts: an instance that has just started has only a few,
-# and its callers have just looked it up.
-MIN_STATEMENTS_TO_AGREE = 8
 AGREEMENT_TOLERANCE_MS = 2.0
-# A request that appears to have lost more of its objective than this is a retry after a refusal,
-# whose objective starts again, or its caller waits less long than others.
+# With fewer statements the longest one counts: an instance that has just started has only a few.
+MIN_STATEMENTS_TO_AGREE = 8
+# Where more than this share of the objective appears to have passed, the request is a retry after a
+# refusal, whose objective starts again, or its caller has a shorter timeout than others.
 MAX_ELAPSED_SHARE = 0.4
 
 
 class CallerTimes:
-    """Estimates the time before a request arrived and on the way of its answer, by route."""
+    """Estimates the time before a request arrives and after its answer is sent, by route."""
 
     def __init__(self) -> None:
         self._stated_ms: dict[str, deque[float]] = {}
@@ -32,7 +33,7 @@
     ) -> float:
         """Record a request and return how much of its objective passes outside this instance.
 
-        `stated_ms` is how long the caller will wait from when it sent the request, if it says so.
+        `stated_ms` is the timeout that the caller states, from when it sent the request, or None.
         `is_first` tells whether the request is the first one on its connection.
         """
         connect_ms = round_trip_ms if is_first else 0.0
@@ -52,7 +53,7 @@
 
 
 def _find_full_time_ms(stated: deque[float]) -> float:
-    """Return the longest time on which enough callers agree, or 0 without one."""
+    """Return the longest stated timeout on which enough callers agree, or 0 without one."""
     longest_first = sorted(stated, reverse=True)
     if len(stated) < MIN_STATEMENTS_TO_AGREE:
         return longest_first[0]
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -50,9 +50,9 @@
 CONNECT_TIMEOUT_MS = 60.0
 # Interval at which a part that waits for upstream capacity checks again.
 CAPACITY_RECHECK_MS = 5.0
-# Rejections of one part in a row, from different upstreams if there are several, that show that
-# the service lacks capacity rather than one of its upstreams.
-REJECTIONS_OF_FULL_SERVICE = 2
+# Rejections of one part in a row, from different upstreams if there are several, from which the
+# whole service and not only one of its upstreams counts as out of capacity.
+MIN_SERVICE_REJECTIONS = 2
 # Retry delay sent to the caller when too few upstreams are listed, and for all other refusals.
 RETRY_UNLISTED_MS = 400.0
 RETRY_REJECTED_MS = 100.0
@@ -66,7 +66,7 @@
 class ExchangeDependencies(NamedTuple):
     """Objects shared by all exchanges; `hints` reports late calls to other instances.
 
-    `sharing` orders the parts that wait for room at a service.
+    `sharing` queues the parts that wait for room at a service.
     """
 
     selector: Selector
@@ -95,10 +95,10 @@
 
         `outside_ms` is the part of the objective that passes outside this instance. `demand` orders
         the request among others that wait for room, by default by the priority of its route.
-        `on_resume` is called when the timer has become due early.
+        `on_resume` is called when `handle_timer` is due earlier than planned.
         """
         self.route = route
-        # The first shortage for which a part was given up.
+        # The first shortage for which a part was refused.
         self.shortage: Shortage | None = None
         self.received_ms = received_ms
         self.deadline_ms = min(deadline_ms, received_ms + route.timeout_ms) - TIMEOUT_MARGIN_MS
@@ -227,9 +227,9 @@
 
     def _record_rejections(self, part: Part, kind: FailureKind, now_ms: float) -> None:
         part.rejections = part.rejections + 1 if kind is FailureKind.REJECTED else 0
-        if part.rejections < REJECTIONS_OF_FULL_SERVICE:
+        if part.rejections < MIN_SERVICE_REJECTIONS:
             return
-        # The permits of rate-limited upstreams already say when they have room.
+        # The permits of rate-limited upstreams already limit the calls to them.
         if not self._dependencies.selector.list_limited_ids(part.service):
             self._dependencies.sharing.record_rejection(part.service, now_ms)
 
@@ -293,7 +293,7 @@
         return self._cancel(self.open_calls, now_ms)
 
     def _cancel(self, calls: list[Call], now_ms: float) -> list[Action]:
-        """Cancel calls after the end of the request, which then waits for no room either."""
+        """Cancel calls of a request that has ended, and remove its parts from their queues."""
         for part in self._parts:
             self._queue.leave(part)
         actions: list[Action] = []
@@ -415,7 +415,7 @@
         latest_ms = self._find_latest_start_ms(part, now_ms)
         part.reservation = selector.reserve(part.service, now_ms, latest_ms, excluded)
         if part.reservation is not None:
-            # In the queue it would hold up others, which need no permit, and be resumed too early.
+            # In the queue it would delay parts that need no permit, and be resumed too early.
             self._queue.leave(part)
             part.resume_ms = part.reservation.at_ms
             return True
@@ -436,7 +436,7 @@
         return True
 
     def _finish_if_refused(self, part: Part, now_ms: float) -> None:
-        """Finish a part that waits for room in vain."""
+        """Finish a part that was refused in its queue or has reached the deadline there."""
         if not self._queue.is_refused(part, now_ms):
             return
         part.last_failure = part.last_failure or "no_room"
--- a/citronpaddle/policy/feed.py
+++ b/citronpaddle/policy/feed.py
@@ -21,7 +21,7 @@
 # changes. A watch that is older, with a margin for a slow answer, may never be answered although
 # the watcher's other store calls are.
 MAX_WATCH_AGE_MS = 2_200.0
-# Batches of at most this many senders are remembered, since a datagram may name any sender.
+# At most this many senders of batches are tracked, since a datagram may name any sender.
 MAX_SENDERS = 4_096
 # Compression shrinks upstream entries to a quarter and configurations to a tenth, so a batch of
 # this size fits a datagram of 8 KiB. Of more batches, some would be lost on a weak link; each
@@ -36,7 +36,7 @@
     """All changes after `from_revision` up to `to_revision`; the watch was answered `age_ms` ago.
 
     A batch with equal revisions has no changes and only reports the watcher's revision. Revisions
-    are those of the store's `era`.
+    are those of the store's `era`, the number of times that it was restored from a copy.
     """
 
     from_revision: int
--- a/citronpaddle/policy/pace.py
+++ b/citronpaddle/policy/pace.py
@@ -1,7 +1,9 @@
-"""Pace: how many calls an upstream gets at once while it starts or recovers.
+"""Pace: an adaptive concurrency limit for an upstream that starts or recovers.
 
-The pace is found from the upstream's answers and counts the calls of all instances. Times are in ms
-on one monotonic clock; slowness is a latency as a multiple of the baseline of its service's route.
+It applies to the calls of all instances together, grows by a factor after good replies and shrinks
+after slow replies and failures. It is a soft limit: further calls cost more in the selection. Times
+are in ms on one monotonic clock; slowness is a latency as a multiple of the baseline latency of the
+upstream's service and the route.
 """
 
 from collections.abc import Callable
@@ -11,28 +13,29 @@
 
 from .registry import Upstream
 
-# The first calls show how the upstream answers; a quarter of a call keeps one that fails in view.
+# Concurrent calls at the start of a pace, and its minimum; below 1, calls are spaced by the latency
+# divided by the pace, so that an upstream that fails is still called now and then.
 INITIAL_CONCURRENCY = 1.0
 MIN_CONCURRENCY = 0.25
 # Factors of the pace after a good reply, a slow reply, and a rejection or failure.
 GROWTH_FACTOR = 1.25
 SLOW_FACTOR = 0.8
 FAILURE_FACTOR = 0.5
-# A reply is good up to this multiple of the reference.
+# A reply is good up to this multiple of the reference, which is the usual slowness of the upstream.
 GOOD_SLOWNESS_FACTOR = 2.0
-# Weight of a reply that is slower than the reference; a faster one replaces the reference.
+# Weight of a slower reply in the moving average of the reference; a faster reply replaces it.
 REFERENCE_WEIGHT = 0.2
-# A pace ends after this time without a reply: what it was found from is outdated.
+# A pace ends after this time without a reply: it is outdated.
 MAX_SILENCE_MS = 10_000.0
-# How much later an upstream must stay cold than was known when its pace ended to be paced again.
-# Entries are rewritten meanwhile, and the end of the warm-up is computed anew each time.
+# A new pace begins for a cold upstream if its warm-up ends later by more than this than was known
+# when its last pace ended: the end of the warm-up is computed anew from each rewritten entry.
 COLD_TOLERANCE_MS = 1_000.0
-# The latency of an upstream without replies, for the interval of calls below one at once.
+# Latency assumed for an upstream without replies, which spaces its calls if the pace is below 1.
 ASSUMED_LATENCY_MS = 50.0
 
 
 class PaceEnd(Enum):
-    """Why a pace ended: the upstream takes calls in all its slots, or there were no replies."""
+    """Why a pace ended: it has reached the upstream's slots, or there were no replies."""
 
     REACHED = "reached"
     EXPIRED = "expired"
@@ -76,14 +79,13 @@
         self._share = share
 
     def may_apply(self, upstream: Upstream, now_ms: float) -> bool:
-        """Return whether the upstream has or had a pace, or is cold: a check for each choice."""
+        """Return whether the upstream has or had a pace, or is cold: else its factor is 1."""
         return upstream.id in self._paces or upstream.cold_until_ms > now_ms
 
     def find_factor(self, upstream: Upstream, open_calls: int, now_ms: float) -> float:
-        """Return the factor of a call's cost: 1 within the pace, and more beyond it.
+        """Return the factor of a call's cost: 1 within the pace, slots divided by pace beyond it.
 
-        Beyond it, a call costs as much more as the pace is below the slots. The pace of a cold
-        upstream begins here.
+        Begin a pace for a cold upstream without one, and end one that has expired.
         """
         pace = self._find(upstream, now_ms)
         if pace is None or self._permits(pace, open_calls, now_ms):
@@ -91,7 +93,7 @@
         return max(1.0, upstream.slots / pace.concurrency)
 
     def estimate_excess(self, upstream_id: str) -> float | None:
-        """Return by how much the reference exceeds a usual reply, or None before the first one."""
+        """Return by how much the reference exceeds a slowness of 1, or None before any reply."""
         pace = self._paces.get(upstream_id)
         if pace is None or pace.reference is None:
             return None
@@ -104,7 +106,7 @@
             self._start(upstream, INITIAL_CONCURRENCY, now_ms)
 
     def record_sent(self, upstream: Upstream, now_ms: float) -> None:
-        """Record a call; below one call at once, it sets when the next one is due."""
+        """Record a call; if this instance's pace is below 1, set when the next call is due."""
         pace = self._paces.get(upstream.id)
         if pace is None or pace.concurrency is None:
             return
@@ -115,7 +117,7 @@
     def record_reply(
         self, upstream: Upstream, slowness: float, latency_ms: float, now_ms: float
     ) -> None:
-        """Grow the pace after a good reply, at most once a round trip; shrink it after another."""
+        """Grow the pace after a good reply, shrink it after a slow one; once per round trip."""
         pace = self._paces.get(upstream.id)
         if pace is None or pace.concurrency is None:
             return
@@ -158,7 +160,7 @@
         return open_calls == 0 and now_ms >= pace.next_call_ms
 
     def _find(self, upstream: Upstream, now_ms: float) -> _Pace | None:
-        """Return the pace of an upstream, after it began or ended by time; None without one."""
+        """Return the pace of an upstream or None; begin one if it is cold, end an expired one."""
         pace = self._paces.get(upstream.id)
         is_cold = upstream.cold_until_ms > now_ms
         if pace is None:
--- a/citronpaddle/policy/partialanswers.py
+++ b/citronpaddle/policy/partialanswers.py
@@ -1,4 +1,4 @@
-"""When a query is answered without all of its shards, and how many of them it needs.
+"""Decides when a query is answered without all of its shards, and how many of them it needs.
 
 Times are in ms on one monotonic clock.
 """
--- a/citronpaddle/policy/registry.py
+++ b/citronpaddle/policy/registry.py
@@ -7,9 +7,9 @@
 
 # Entries that lapsed during a store outage are rewritten within about two seconds of its end.
 STORE_RETURN_GRACE_MS = 2_500.0
-# How long it is remembered which entry of an upstream was the last before its removal. A copy from
-# which the store is restored is some seconds old.
-REMOVED_MEMORY_MS = 60_000.0
+# How long the identity of an upstream's last entry is kept after its removal. A copy from which the
+# store is restored is some seconds old.
+REMOVED_RETENTION_MS = 60_000.0
 # How long an upstream is excluded whose address belongs to another one, unless the start
 # time or address in its entry changes: an outdated entry disappears within a few heartbeats.
 MISDIRECTED_EXCLUSION_MS = 10_000.0
@@ -40,7 +40,10 @@
 
 
 class _RemovedEntry(NamedTuple):
-    """The last entry of an upstream that was removed, and when that was, in ms."""
+    """Identity of the last entry of a removed upstream, and when it was removed.
+
+    `started_at_ms` is Unix time, `removed_ms` a monotonic time.
+    """
 
     started_at_ms: int
     sequence: int
@@ -129,18 +132,18 @@
         if now_ms < self._grace_until_ms:
             self._missing_since_ms.setdefault(upstream_id, now_ms)
             return False
-        self._remember_removed(upstream_id, now_ms)
+        self._record_removal(upstream_id, now_ms)
         self._delete(upstream_id)
         return True
 
-    def _remember_removed(self, upstream_id: str, now_ms: float) -> None:
+    def _record_removal(self, upstream_id: str, now_ms: float) -> None:
         removed = self._upstreams[upstream_id]
         self._removed[upstream_id] = _RemovedEntry(removed.started_at_ms, removed.sequence, now_ms)
 
     def is_known_removed(self, upstream: Upstream) -> bool:
-        """Return whether this entry, or a newer one of the upstream, was removed lately.
+        """Return whether this entry or a newer one was removed in the last `REMOVED_RETENTION_MS`.
 
-        Such an entry returns if the store is restored from a copy that is older than the removal.
+        Such an entry reappears if the store is restored from a copy older than the removal.
         """
         removed = self._removed.get(upstream.id)
         return removed is not None and (upstream.started_at_ms, upstream.sequence) <= removed[:2]
@@ -160,7 +163,7 @@
     def expire(self, now_ms: float) -> list[str]:
         """Remove entries missing after the grace period and return their ids; end exclusions."""
         for upstream_id, entry in list(self._removed.items()):
-            if now_ms - entry.removed_ms >= REMOVED_MEMORY_MS:
+            if now_ms - entry.removed_ms >= REMOVED_RETENTION_MS:
                 del self._removed[upstream_id]
         for upstream_id, until_ms in list(self._excluded_until_ms.items()):
             if now_ms >= until_ms:
@@ -170,7 +173,7 @@
             return []
         removed_ids = list(self._missing_since_ms)
         for upstream_id in removed_ids:
-            self._remember_removed(upstream_id, now_ms)
+            self._record_removal(upstream_id, now_ms)
             self._delete(upstream_id)
         return removed_ids
 
--- a/citronpaddle/policy/upstreamstats.py
+++ b/citronpaddle/policy/upstreamstats.py
@@ -15,10 +15,10 @@
 _OUTSTANDING_COST = 0.5
 _FAILURE_COST = 8.0
 _OVERDUE_COST = 6.0
-# The most that past failures cost when a call is due that shows a recovery. It is made where the
-# other upstreams are busy, slow or few, and not while they answer as usual.
+# Maximum cost of past failures when a probe (a call that shows whether the upstream has recovered)
+# is due. At this cost it is sent only if the other upstreams are busy, slow or few.
 _PROBE_COST = 0.5
-# Interval of such calls, of all instances together.
+# Mean interval of the probes of all instances together.
 _PROBE_INTERVAL_MS = 250.0
 # Cost added to an upstream that is avoided after failed calls.
 _BLOCKED_COST = 100.0
@@ -56,7 +56,7 @@
         self.block_ms = 0.0
         self.peer_reply_ms = 0.0
         self.peer_late_until_ms = 0.0
-        # When a call is due that shows whether the upstream has recovered.
+        # When a probe is due.
         self.probe_ms = inf
         # Send time in ms by open call, oldest first.
         self.open_sent_ms: dict[int, float] = {}
@@ -64,7 +64,10 @@
     def estimate_cost(
         self, base_cost: float, slots: int, now_ms: float, late_threshold_ms: float
     ) -> tuple[float, bool]:
-        """Return `base_cost` plus the cost of a call, and whether the upstream is not avoided."""
+        """Return `base_cost` plus the cost of a call, and whether the upstream is healthy.
+
+        It is not while it is avoided after failed calls.
+        """
         self.decay(now_ms)
         failure_cost = _FAILURE_COST * self.failure_rate
         if now_ms >= self.probe_ms:
@@ -93,13 +96,13 @@
         self.updated_ms = now_ms
 
     def record_sent(self, call_id: int, now_ms: float) -> None:
-        """Record an open call; if one that shows a recovery is due, this is the one."""
+        """Record an open call; it serves as the probe if one is due."""
         self.open_sent_ms[call_id] = now_ms
         if now_ms >= self.probe_ms:
             self.probe_ms = inf
 
     def record_reply(self, slowness: float, now_ms: float) -> bool:
-        """Record a reply; return whether the upstream has recovered from being unreachable."""
+        """Record a reply and end the avoidance; return whether the upstream was unreachable."""
         self.decay(now_ms)
         self._add_slowness(slowness)
         self.failure_rate -= _FAILURE_WEIGHT * self.failure_rate
@@ -108,7 +111,7 @@
         return has_recovered
 
     def record_recovery(self) -> None:
-        """End the avoidance after failures: they no longer describe the upstream."""
+        """Clear the failure rate and end the avoidance of an upstream that has recovered."""
         self.failure_rate = 0.0
         self._end_block()
 
@@ -121,7 +124,7 @@
             self.blocked_until_ms = now_ms + self.block_ms
 
     def schedule_probe(self, share: float, draw: float) -> None:
-        """Schedule the call that shows a recovery; `draw`, from 0 to 1, spreads the instances.
+        """Schedule a probe after the avoidance; `draw` (0 to 1) spreads those of all instances.
 
         `share` (above 0, up to 1) is this instance's share of the calls of all instances.
         """
