Name the state of a caller's connection and the target of shedding

Cause: Standing and relief are no terms of the field, and the docstring of the state did not explain all its fields.

Change: Standing is ConnectionState, RELIEF_SHARE is SHEDDING_TARGET_SHARE, and the comments of receiving are reworded. No change of behaviour.

Result: tests/test_receiving.py, tests/test_crowds.py and tests/test_unread_answers.py pass.

--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -12,7 +12,7 @@
 
 from ..clock import Clock
 from ..policy.catalog import CallerLimits
-from ..policy.receiving import UNCOUNTED_BYTES, LimitReason, Phase, Standing, is_body_overdue
+from ..policy.receiving import UNCOUNTED_BYTES, ConnectionState, LimitReason, Phase, is_body_overdue
 from .framing import MessageSizes
 from .httpclient import set_keep_alive
 from .httpserver import HttpAnswer, HttpRequest, format_answer
@@ -327,7 +327,7 @@
         if not self.is_busy and self._read_start_ms is None and not self._unparsed:
             self._close()
 
-    def describe(self) -> Standing:
+    def describe(self) -> ConnectionState:
         releasable = self._held_bytes
         if self.is_busy:
             phase, since_ms = Phase.IN_PROGRESS, self._idle_since_ms
@@ -336,7 +336,7 @@
             phase, since_ms = Phase.IDLE, self._idle_since_ms
         else:
             phase, since_ms = Phase.READING, self._read_start_ms
-        return Standing(self, phase, since_ms, releasable, self._has_completed)
+        return ConnectionState(self, phase, since_ms, releasable, self._has_completed)
 
     def give_up(self, reason: LimitReason) -> None:
         if self._is_closed:
--- a/citronpaddle/adapters/intake.py
+++ b/citronpaddle/adapters/intake.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from ..clock import Clock
-from ..policy.receiving import CallerBudget, CallerBudgetLimits, LimitReason, Standing
+from ..policy.receiving import CallerBudget, CallerBudgetLimits, ConnectionState, LimitReason
 from .addresses import Address
 from .counts import Counts
 from .eventlog import Event, EventLog
@@ -24,7 +24,7 @@
     """A connection of a caller that can be given up."""
 
     @abstractmethod
-    def describe(self) -> Standing:
+    def describe(self) -> ConnectionState:
         """Return the state of the connection; its key is the connection itself."""
 
     @abstractmethod
@@ -65,8 +65,8 @@
         """Add a new connection; close others, or this one, if there are too many."""
         self._open.add(connection)
         if len(self._open) > self._budget.limits.connections:
-            standings = [item.describe() for item in self._open]
-            for excess in self._budget.select_for_connections(standings):
+            states = [item.describe() for item in self._open]
+            for excess in self._budget.select_for_connections(states):
                 # Connections that are closing stay in `_open` until asyncio reports their end.
                 excess.give_up(LimitReason.CONNECTIONS)
 
@@ -79,8 +79,8 @@
         """Set the bytes that a connection holds; give up requests if there are too many."""
         self._budget.hold(connection, size_bytes)
         if self._budget.exceeds_bytes:
-            standings = [item.describe() for item in self._open]
-            for holder in self._budget.select_for_bytes(standings, self._clock.now_ms()):
+            states = [item.describe() for item in self._open]
+            for holder in self._budget.select_for_bytes(states, self._clock.now_ms()):
                 holder.give_up(LimitReason.HELD_BYTES)
 
     def record(self, reason: LimitReason) -> None:
--- a/citronpaddle/policy/receiving.py
+++ b/citronpaddle/policy/receiving.py
@@ -1,29 +1,33 @@
-"""Limits on what callers make an instance hold: bytes of their requests, and connections."""
+"""Limits of what an instance holds for callers: bytes of their requests, and connections.
+
+Times are in ms on one monotonic clock.
+"""
 
 from collections.abc import Hashable, Iterable
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
-# Descriptors of a process that are kept for files; the rest is for sockets.
+# File descriptors of a process that are reserved for files; the rest is for sockets.
 RESERVED_DESCRIPTORS = 200
-# Shares for callers. The rest of the sockets are for upstreams and other instances, that of the
-# memory for the program, the copies of requests that are sent to upstreams, and responses.
+# Shares for callers. The other sockets are for upstreams and other instances, the other memory for
+# the program, the copies of requests that are sent to upstreams, and responses.
 CALLER_SOCKET_SHARE = 0.5
 HELD_MEMORY_SHARE = 0.25
 # Assumed where the settings do not state the limits of the machine.
 DEFAULT_MEMORY_MB = 256.0
 DEFAULT_DESCRIPTORS = 1_024
-# Relief continues down to this share of a limit, so that it is not due again for each packet.
-RELIEF_SHARE = 0.875
+# When a limit is exceeded, what callers hold is reduced to this share of it, so that not every
+# further packet exceeds it again.
+SHEDDING_TARGET_SHARE = 0.875
 # Bytes that each connection may hold without being counted; its own objects need as much.
 UNCOUNTED_BYTES = 4_096
-# Memory of a header beside its bytes: a tuple and two bytes objects.
+# Memory of a header in addition to its bytes: a tuple and two bytes objects.
 HEADER_COST_BYTES = 160
 # A body must arrive within this time, plus one ms for each `MIN_BODY_BYTES_PER_MS` received.
 BODY_GRACE_MS = 30_000.0
 MIN_BODY_BYTES_PER_MS = 1.0
-# Bytes of chunk sizes and extensions that are allowed for each byte of a body, beside as many as
-# a head may have. Chunks of one byte need five.
+# Bytes of chunk sizes and extensions that are allowed for each byte of a body, in addition to the
+# maximum size of a head. Chunks of one byte need five.
 MAX_FRAMING_PER_BODY_BYTE = 16
 
 
@@ -49,10 +53,11 @@
     IN_PROGRESS = 2
 
 
-class Standing(NamedTuple):
-    """The state of one connection; `phase` began at `since_ms`.
+class ConnectionState(NamedTuple):
+    """The state of one connection of a caller; `phase` began at `since_ms`.
 
-    `releasable_bytes` are held for a request that is not complete, or not yet begun.
+    `releasable_bytes` are held for a request that is incomplete or has not started to run.
+    `has_completed` tells whether the connection has had a complete request.
     """
 
     key: Hashable
@@ -81,16 +86,16 @@
 def is_body_overdue(elapsed_ms: float, body_bytes: int) -> bool:
     """Return whether a body that began `elapsed_ms` ago has too few bytes.
 
-    The time grows with the bytes of the body alone, so that neither single bytes nor chunk
-    extensions and trailers renew it for ever.
+    Only the bytes of the body extend the allowed time, so that neither single bytes nor chunk
+    extensions and trailers keep a request open indefinitely.
     """
     return elapsed_ms > BODY_GRACE_MS + body_bytes / MIN_BODY_BYTES_PER_MS
 
 
 class CallerBudget:
-    """Counts what callers hold, and selects what is given up when a limit is exceeded.
+    """Counts what is held for callers, and selects connections to release when a limit is exceeded.
 
-    Requests in progress are never given up, since they may have run.
+    Requests in progress are never released, since they may have run.
     """
 
     def __init__(self, limits: CallerBudgetLimits) -> None:
@@ -104,20 +109,20 @@
         return self.held_bytes > self.limits.held_bytes
 
     def hold(self, key: Hashable, size_bytes: int) -> None:
-        """Set the bytes that a connection holds; 0 removes it."""
+        """Set the bytes that are held for a connection; 0 removes it."""
         counted = max(0, size_bytes - UNCOUNTED_BYTES)
         self.held_bytes += counted - self._held.pop(key, 0)
         if counted:
             self._held[key] = counted
 
-    def select_for_bytes(self, standings: Iterable[Standing], now_ms: float) -> list[Hashable]:
-        """Return the connections to give up so that the held bytes fall below the limit.
+    def select_for_bytes(self, states: Iterable[ConnectionState], now_ms: float) -> list[Hashable]:
+        """Return the connections that must release their bytes to be below the limit again.
 
         Callers without a completed request come first, and among those the largest and slowest,
         by the product of bytes and time.
         """
-        excess = self.held_bytes - RELIEF_SHARE * self.limits.held_bytes
-        holders = [item for item in standings if item.releasable_bytes > UNCOUNTED_BYTES]
+        excess = self.held_bytes - SHEDDING_TARGET_SHARE * self.limits.held_bytes
+        holders = [item for item in states if item.releasable_bytes > UNCOUNTED_BYTES]
         holders.sort(
             key=lambda item: (
                 item.has_completed,
@@ -132,17 +137,17 @@
             selected.append(holder.key)
         return selected
 
-    def select_for_connections(self, standings: Iterable[Standing]) -> list[Hashable]:
+    def select_for_connections(self, states: Iterable[ConnectionState]) -> list[Hashable]:
         """Return the connections to close if there are more than the limit, else none.
 
         Callers without a completed request come first, then idle connections, then requests that
         are being read; the oldest of each go first.
         """
-        standings = list(standings)
-        if len(standings) <= self.limits.connections:
+        states = list(states)
+        if len(states) <= self.limits.connections:
             return []
-        count = len(standings) - int(RELIEF_SHARE * self.limits.connections)
-        closable = [item for item in standings if item.phase is not Phase.IN_PROGRESS]
+        count = len(states) - int(SHEDDING_TARGET_SHARE * self.limits.connections)
+        closable = [item for item in states if item.phase is not Phase.IN_PROGRESS]
         closable.sort(
             key=lambda item: (
                 item.has_completed,
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -2,12 +2,12 @@
 
 from citronpaddle.policy.receiving import (
     BODY_GRACE_MS,
-    RELIEF_SHARE,
+    SHEDDING_TARGET_SHARE,
     UNCOUNTED_BYTES,
     CallerBudget,
     CallerBudgetLimits,
+    ConnectionState,
     Phase,
-    Standing,
     derive_limits,
     is_body_overdue,
 )
@@ -15,67 +15,67 @@
 LIMITS = CallerBudgetLimits(held_bytes=1_000_000, connections=8)
 
 
-def make_budget(standings):
+def make_budget(states):
     budget = CallerBudget(LIMITS)
-    for standing in standings:
-        budget.hold(standing.key, standing.releasable_bytes)
+    for state in states:
+        budget.hold(state.key, state.releasable_bytes)
     return budget
 
 
 def test_an_ordinary_caller_is_given_up_last():
     """Guards against a crowd that displaces callers whose requests are in the usual range."""
-    ordinary_new = Standing("new", Phase.READING, 990.0, 200_000, False)
-    ordinary_known = Standing("known", Phase.READING, 0.0, 300_000, True)
-    stalled = Standing("stalled", Phase.READING, 0.0, 250_000, False)
-    growing = Standing("growing", Phase.READING, 500.0, 350_000, False)
-    standings = [ordinary_known, ordinary_new, growing, stalled]
-    budget = make_budget(standings)
+    ordinary_new = ConnectionState("new", Phase.READING, 990.0, 200_000, False)
+    ordinary_known = ConnectionState("known", Phase.READING, 0.0, 300_000, True)
+    stalled = ConnectionState("stalled", Phase.READING, 0.0, 250_000, False)
+    growing = ConnectionState("growing", Phase.READING, 500.0, 350_000, False)
+    states = [ordinary_known, ordinary_new, growing, stalled]
+    budget = make_budget(states)
     assert budget.exceeds_bytes
-    assert budget.select_for_bytes(standings, 1_000.0) == ["stalled"]
-    standings.append(Standing("huge", Phase.READING, 0.0, 900_000, True))
+    assert budget.select_for_bytes(states, 1_000.0) == ["stalled"]
+    states.append(ConnectionState("huge", Phase.READING, 0.0, 900_000, True))
     budget.hold("huge", 900_000)
     # Callers that have completed a request come after all that never did.
-    assert budget.select_for_bytes(standings, 1_000.0) == ["stalled", "growing", "new", "huge"]
+    assert budget.select_for_bytes(states, 1_000.0) == ["stalled", "growing", "new", "huge"]
 
 
 def test_what_can_not_be_released_is_not_selected():
     """Guards against giving up requests in progress, which may have run."""
-    standings = [
-        Standing("busy", Phase.IN_PROGRESS, 0.0, 0, True),
-        Standing("small", Phase.READING, 0.0, UNCOUNTED_BYTES, False),
+    states = [
+        ConnectionState("busy", Phase.IN_PROGRESS, 0.0, 0, True),
+        ConnectionState("small", Phase.READING, 0.0, UNCOUNTED_BYTES, False),
     ]
-    budget = make_budget(standings)
+    budget = make_budget(states)
     budget.hold("busy", 2_000_000)
     assert budget.exceeds_bytes
-    assert budget.select_for_bytes(standings, 1_000.0) == []
+    assert budget.select_for_bytes(states, 1_000.0) == []
     budget.hold("busy", 0)
     assert budget.held_bytes == 0
 
 
 def test_relief_leaves_room_below_the_limit():
     """Guards against a selection that is due again at each packet."""
-    standings = [Standing(n, Phase.READING, 0.0, 54_096, False) for n in range(25)]
-    budget = make_budget(standings)
-    for key in budget.select_for_bytes(standings, 1.0):
+    states = [ConnectionState(n, Phase.READING, 0.0, 54_096, False) for n in range(25)]
+    budget = make_budget(states)
+    for key in budget.select_for_bytes(states, 1.0):
         budget.hold(key, 0)
-    assert 0.8 < budget.held_bytes / LIMITS.held_bytes <= RELIEF_SHARE
+    assert 0.8 < budget.held_bytes / LIMITS.held_bytes <= SHEDDING_TARGET_SHARE
 
 
 def test_connections_are_closed_in_order():
     """Guards against closing connections with a request in progress, or of known callers first."""
-    standings = [
-        Standing("busy", Phase.IN_PROGRESS, 0.0, 0, True),
-        Standing("known reading", Phase.READING, 1.0, 0, True),
-        Standing("known idle", Phase.IDLE, 2.0, 0, True),
-        Standing("never", Phase.IDLE, 3.0, 0, False),
-        Standing("never reading", Phase.READING, 4.0, 0, False),
+    states = [
+        ConnectionState("busy", Phase.IN_PROGRESS, 0.0, 0, True),
+        ConnectionState("known reading", Phase.READING, 1.0, 0, True),
+        ConnectionState("known idle", Phase.IDLE, 2.0, 0, True),
+        ConnectionState("never", Phase.IDLE, 3.0, 0, False),
+        ConnectionState("never reading", Phase.READING, 4.0, 0, False),
     ]
     budget = CallerBudget(CallerBudgetLimits(1, 5))
-    assert budget.select_for_connections(standings) == []
+    assert budget.select_for_connections(states) == []
     order = []
     for connections in (4, 3, 2, 1):
         budget.limits = CallerBudgetLimits(1, connections)
-        order = budget.select_for_connections(standings)
+        order = budget.select_for_connections(states)
     assert order == ["never", "never reading", "known idle", "known reading"]
 
 
