Keep the reasons of bounds that were reworded

Cause: a second reading found reworded comments that had lost a reason or said too much: the floor of a quota's ceiling, the second bad span, the statements of a new instance's callers and the age of recent calls.

Change: these comments state the reason again, in field terms.

Result: tests/test_quota.py, tests/test_rollouts.py, tests/test_sharing.py, tests/test_callertimes.py and tests/test_exchange.py pass.

--- a/citronpaddle/policy/callertimes.py
+++ b/citronpaddle/policy/callertimes.py
@@ -15,7 +15,8 @@
 # it: a single caller may have a longer timeout than the others.
 MIN_AGREEING = 2
 AGREEMENT_TOLERANCE_MS = 2.0
-# With fewer statements the longest one counts: an instance that has just started has only a few.
+# With fewer statements the longest one counts: an instance that has just started has only a few,
+# from callers that have just looked it up.
 MIN_STATEMENTS_TO_AGREE = 8
 # Where more than this share of the objective appears to have passed, the request is a retry after a
 # refusal, whose objective starts again, or its caller has a shorter timeout than others.
--- a/citronpaddle/policy/exchange.py
+++ b/citronpaddle/policy/exchange.py
@@ -229,7 +229,7 @@
         part.rejections = part.rejections + 1 if kind is FailureKind.REJECTED else 0
         if part.rejections < MIN_SERVICE_REJECTIONS:
             return
-        # The permits of rate-limited upstreams already limit the calls to them.
+        # The permits of rate-limited upstreams already state when they can take calls.
         if not self._dependencies.selector.list_limited_ids(part.service):
             self._dependencies.sharing.record_rejection(part.service, now_ms)
 
--- a/citronpaddle/policy/judgement.py
+++ b/citronpaddle/policy/judgement.py
@@ -18,8 +18,9 @@
 RECENT_SPANS = 6
 # Calls to other versions that a stratum needs; with fewer, those of the adjacent spans are added.
 MIN_OTHER_CALLS = 3
-# Minimum number of spans with an excess of bad calls, and that excess in calls. When a burst or an
-# outage begins within a span, by chance most of the later calls may be the target's.
+# Minimum number of spans with an excess of bad calls, and that excess in calls. One span is not
+# enough: when a burst or an outage begins in it, more of the later calls may be the target's by
+# chance.
 MIN_BAD_SPANS = 2
 MIN_SPAN_EXCESS = 0.5
 
@@ -168,7 +169,7 @@
 
 
 # A running roll-out is judged several times a second and by many subsets of its calls, so that a
-# false positive is more likely than in the one judgement at its end.
+# false positive is more likely than in the one judgement at its end; its thresholds are higher.
 RUNNING_THRESHOLDS = Thresholds(bad=4, score=4.0, difference=0.1)
 FINAL_THRESHOLDS = Thresholds(bad=3, score=2.3, difference=0.05)
 
--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -17,12 +17,12 @@
 
 MS_PER_SECOND = 1_000.0
 # Shares of the slack (what is tolerated beyond rate and burst) that are added to the burst and to
-# the requests of a window, so that no request is refused below the limit. The rest covers requests
-# that are not reported yet.
+# the requests of a window, to refuse few requests below the limit. The rest covers requests that
+# are not reported yet.
 BURST_SLACK_SHARE = 0.25
 WINDOW_SLACK_SHARE = 0.6
-# The share for a window while instances are cut off: some requests are admitted before that is
-# detected.
+# Share that is added to a window while instances are cut off: some requests are admitted before a
+# cut is detected.
 CUT_WINDOW_SLACK_SHARE = 0.5
 # Share of the slack that an instance may admit at once after its start.
 START_SLACK_SHARE = 0.0625
@@ -45,7 +45,7 @@
 # sends and receives at most 250 such reports per second.
 REPORT_INTERVAL_MS = 250.0
 REPORT_INTERVAL_PER_INSTANCE_MS = 4.0
-# One report in this many is a wide one: the instances that are not in use get few requests.
+# At least one report in this many is a wide one: instances that are not in use get few requests.
 WIDE_REPORT_INTERVALS = 4
 # An instance may be cut off if the latest report of it is older than this many intervals.
 TIMEOUT_INTERVALS = 2
@@ -65,7 +65,10 @@
     slack: float = 0.0
 
     def compute_ceiling(self, team: Team) -> float:
-        """Return the maximum number of requests of a team in a window, at least one."""
+        """Return the maximum number of requests of a team in a window.
+
+        It is at least 1: with less, the team could not send any request.
+        """
         return max(1.0, self.compute_quota(team) * (1.0 + self.overshoot) + self.slack)
 
     def compute_quota(self, team: Team) -> float:
@@ -276,7 +279,8 @@
     ) -> float:
         """Return in how many ms a token is expected that no earlier refusal has stated.
 
-        Every instance in use is assumed to refuse as many requests as this one.
+        Every instance in use is assumed to refuse as many requests as this one, so that a refusal
+        counts as one token for each of them.
         """
         retry_ms = max(now_ms + wait_ms, usage.next_retry_ms)
         retry_ms = min(retry_ms, now_ms + max(wait_ms, self.limits.window_ms))
@@ -354,7 +358,7 @@
         return (usage.admitted - reported) * senders >= URGENT_BURST_SHARE * room
 
     def has_regular_reports(self, now_ms: float) -> bool:
-        """Return whether this instance reports: it was in use or admitted a request recently."""
+        """Return whether this instance reports regularly, as it does for `REPORTED_WINDOWS`."""
         is_recent = now_ms - self._active_ms < REPORTED_WINDOWS * self.limits.window_ms
         return bool(self._teams) and is_recent
 
--- a/citronpaddle/policy/rollout.py
+++ b/citronpaddle/policy/rollout.py
@@ -99,7 +99,7 @@
 
     NONE = "none"
     START = "start"
-    # The store has lost the shared state: it is written again.
+    # The store lacks a state that this instance knows: it is written again.
     RESTORE = "restore"
     MOVE = "move"
     SUCCEED = "succeed"
--- a/citronpaddle/policy/sharing.py
+++ b/citronpaddle/policy/sharing.py
@@ -225,7 +225,7 @@
         return refused
 
     def _estimate_interval_ms(self, now_ms: float) -> float:
-        """Return the expected interval between starts, or the time by which one is overdue."""
+        """Return the mean interval between starts, or for how long one is overdue if longer."""
         # Open calls end within an answer time, and then parts start.
         stalled_ms = (
             now_ms - max(self._start_rate.started_ms, self._busy_since_ms) - self._answer_ms
--- a/citronpaddle/policy/versions.py
+++ b/citronpaddle/policy/versions.py
@@ -11,8 +11,8 @@
 from .registry import Upstream
 from .rollout import SLOW_FACTOR, Rollout
 
-# Calls up to this age count as recent: an instance learns of an order about this long after it was
-# given.
+# Calls at least up to this age count as recent: an instance learns of an order about this long
+# after it was given.
 RECENT_CALLS_MS = 2_000.0
 # Replies on a route from which its baseline latency is reliable.
 MIN_BASELINE_REPLIES = 20
