Split the quotas by subject, and share the runs of whole domains in tests

Change: policy/quotalimits has the limits, policy/teamusage the use of one team's quota, tests/fleetworld.run_fleet the run. No behaviour changes.

--- a/citronpaddle/gatewaysettings.py
+++ b/citronpaddle/gatewaysettings.py
@@ -5,7 +5,7 @@
 from .adapters.addresses import Address
 from .policy.exposure import ExposureLimits
 from .policy.extraload import ExtraLoadLimits
-from .policy.quota import QuotaLimits
+from .policy.quotalimits import QuotaLimits
 from .policy.slowstart import ColdLimits
 
 
--- a/citronpaddle/platform/settings.py
+++ b/citronpaddle/platform/settings.py
@@ -7,7 +7,7 @@
 from ..gatewaysettings import GatewaySettings
 from ..policy.exposure import ExposureLimits
 from ..policy.extraload import ExtraLoadLimits
-from ..policy.quota import QuotaLimits
+from ..policy.quotalimits import QuotaLimits
 from ..policy.slowstart import ColdLimits
 from .fields import MAX_NUMBER
 
--- a/citronpaddle/policy/quota.py
+++ b/citronpaddle/policy/quota.py
@@ -13,15 +13,10 @@
 from typing import NamedTuple
 
 from .catalog import Team
+from .quotalimits import MS_PER_SECOND, WINDOW_SLACK_SHARE, QuotaLimits
 from .quotapeers import START_MS, Admissions, QuotaPeers, QuotaReport
-from .slidingcount import SlidingCount
-
-MS_PER_SECOND = 1_000.0
-# Shares of the slack (what is tolerated beyond rate and burst) that are added to the burst and to
-# the requests of a window, to refuse few requests below the limit. The rest covers requests that
-# are not reported yet.
-BURST_SLACK_SHARE = 0.25
-WINDOW_SLACK_SHARE = 0.6
+from .teamusage import TeamUsage
+
 # Share that is added to a window while instances are cut off: some requests are admitted before a
 # cut is detected.
 CUT_WINDOW_SLACK_SHARE = 0.5
@@ -54,42 +49,6 @@
 SETTLING_INTERVALS = 3
 
 
-class QuotaLimits(NamedTuple):
-    """Limits that apply to all quotas.
-
-    In any `window_ms`, all instances together admit at most the rate times the window and the
-    burst, this sum times `overshoot` more, and `slack` requests more.
-    """
-
-    window_ms: float = 5_000.0
-    overshoot: float = 0.0
-    slack: float = 0.0
-
-    def compute_ceiling(self, team: Team) -> float:
-        """Return the maximum number of requests of a team in a window.
-
-        It is at least 1: with less, the team could not send any request.
-        """
-        return max(1.0, self.compute_quota(team) * (1.0 + self.overshoot) + self.slack)
-
-    def compute_quota(self, team: Team) -> float:
-        """Return the requests of a team in a window that are within its quota."""
-        return team.rate_per_s * self.window_ms / MS_PER_SECOND + team.burst
-
-    def compute_slack(self, team: Team) -> float:
-        """Return the requests in a window that are tolerated beyond the quota."""
-        return max(0.0, self.compute_ceiling(team) - self.compute_quota(team))
-
-    def compute_burst(self, team: Team) -> float:
-        """Return the burst that is admitted, in requests, at least one."""
-        return max(1.0, team.burst + BURST_SLACK_SHARE * self.compute_slack(team))
-
-    def compute_rate_per_s(self, team: Team) -> float:
-        """Return the rate that is admitted, in requests per second."""
-        extra = WINDOW_SLACK_SHARE * self.compute_slack(team)
-        return team.rate_per_s + extra * MS_PER_SECOND / self.window_ms
-
-
 class QuotaState(NamedTuple):
     """What a decision about a request of a team was based on.
 
@@ -110,73 +69,6 @@
     state: QuotaState
 
 
-class _TeamUsage:
-    """Use of one team's quota: a token bucket, and the requests of the last window by incarnation.
-
-    `debt` is the number of tokens that the bucket lacks until it is full.
-    """
-
-    def __init__(self, debt: float, now_ms: float) -> None:
-        self.debt = debt
-        self.updated_ms = now_ms
-        # When the bucket was last full.
-        self.full_ms = now_ms
-        self.counts: dict[str, SlidingCount] = {}
-        self.next_retry_ms = 0.0
-        # Own requests since the start, and how many of them are reported to all instances and to
-        # those in use; None if a receiver has missed reports.
-        self.admitted = 0.0
-        self.reported: float | None = 0.0
-        self.reported_in_use: float | None = 0.0
-
-    def refill(self, rate_per_s: float, now_ms: float) -> None:
-        """Add the tokens since the last update."""
-        elapsed_ms = max(0.0, now_ms - self.updated_ms)
-        self.updated_ms = max(now_ms, self.updated_ms)
-        self.debt = max(0.0, self.debt - rate_per_s * elapsed_ms / MS_PER_SECOND)
-        if self.debt == 0.0:
-            self.full_ms = now_ms
-
-    def change_count(
-        self, incarnation: str, change: float, window_ms: float, now_ms: float
-    ) -> None:
-        """Add requests of an incarnation to the window, or remove some."""
-        count = self.counts.get(incarnation)
-        if count is None:
-            count = self.counts[incarnation] = SlidingCount(window_ms)
-        if change > 0:
-            count.add(change, now_ms)
-        else:
-            count.remove(-change)
-
-    def count(self, incarnation: str, now_ms: float) -> float:
-        """Return the requests of an incarnation in the window."""
-        count = self.counts.get(incarnation)
-        return count.count(now_ms) if count is not None else 0.0
-
-    def count_all(self, now_ms: float) -> float:
-        """Return the requests of all incarnations in the window."""
-        return sum(count.count(now_ms) for count in self.counts.values())
-
-    def find_release_ms(self, now_ms: float) -> float | None:
-        """Return when the next requests leave the window, or None if there are none."""
-        releases_ms = [
-            count.find_release_ms(now_ms) for count in self.counts.values() if count.count(now_ms)
-        ]
-        return min(releases_ms, default=None)
-
-    def mark_unreported(self) -> None:
-        """Mark the own requests as not reported, if there are any."""
-        if self.admitted:
-            self.reported = self.reported_in_use = None
-
-    def remove_empty_counts(self, now_ms: float) -> None:
-        """Remove the incarnations without a request in the window."""
-        for incarnation, count in list(self.counts.items()):
-            if not count.count(now_ms):
-                del self.counts[incarnation]
-
-
 class Quotas:
     """Admits requests within the quotas of their teams, and reports them to other instances."""
 
@@ -193,7 +85,7 @@
         self._has_share = False
         self._in_use: list[str] = []
         self._silent: set[str] = set()
-        self._usage: dict[str, _TeamUsage] = {}
+        self._usage: dict[str, TeamUsage] = {}
         self._teams: dict[str, Team] = {}
         # When this instance was last in use or admitted a request.
         self._active_ms = now_ms - REPORTED_WINDOWS * limits.window_ms
@@ -281,7 +173,7 @@
         tokens = self.limits.compute_burst(team) - usage.debt
         return QuotaPreview(wait_ms, tokens, self._describe(usage, team, now_ms))
 
-    def _compute_wait_ms(self, usage: _TeamUsage, team: Team, now_ms: float) -> float:
+    def _compute_wait_ms(self, usage: TeamUsage, team: Team, now_ms: float) -> float:
         """Return after how many ms the quota has room for one more request, 0 if it has now."""
         rate_per_s = self.limits.compute_rate_per_s(team)
         # Other instances may have used the tokens of the time since their latest reports.
@@ -297,7 +189,7 @@
         return wait_ms
 
     def _schedule_retry(
-        self, usage: _TeamUsage, wait_ms: float, rate_per_s: float, now_ms: float
+        self, usage: TeamUsage, wait_ms: float, rate_per_s: float, now_ms: float
     ) -> float:
         """Return in how many ms a token is expected that no earlier refusal has stated.
 
@@ -347,7 +239,7 @@
             unknown = len(self._usage.keys() - self._teams.keys())
             if is_starting or unknown >= MAX_UNKNOWN_TEAMS:
                 return
-            usage = self._usage[change.team] = _TeamUsage(0.0, now_ms)
+            usage = self._usage[change.team] = TeamUsage(0.0, now_ms)
         usage.change_count(incarnation, change.count, self.limits.window_ms, now_ms)
 
     def _apply_admissions(
@@ -417,8 +309,8 @@
         return self._make_report(counts, now_ms)
 
     def _limit_bytes(
-        self, is_changed: Callable[[_TeamUsage], bool]
-    ) -> Iterator[tuple[str, _TeamUsage]]:
+        self, is_changed: Callable[[TeamUsage], bool]
+    ) -> Iterator[tuple[str, TeamUsage]]:
         """Yield changed counts until a report is full; the others stay for the next one."""
         size = 0
         for name, usage in self._usage.items():
@@ -433,13 +325,13 @@
         missed = tuple(self._peers.list_missed(now_ms))[:MAX_MISSED]
         return QuotaReport(self._incarnation, uptime_ms, tuple(counts), missed, self._is_in_use)
 
-    def _find_usage(self, team: Team, now_ms: float) -> _TeamUsage:
+    def _find_usage(self, team: Team, now_ms: float) -> TeamUsage:
         usage = self._usage.get(team.name)
         if usage is None:
             usage = self._usage[team.name] = self._create_usage(team, now_ms)
         return usage
 
-    def _create_usage(self, team: Team, now_ms: float) -> _TeamUsage:
+    def _create_usage(self, team: Team, now_ms: float) -> TeamUsage:
         # An instance that has just started does not know what was admitted before; all may have
         # been restarted. The burst counts as used at the start.
         uptime_ms = now_ms - self._started_ms
@@ -448,7 +340,7 @@
             refilled = self.limits.compute_rate_per_s(team) * uptime_ms / MS_PER_SECOND
             at_start = START_SLACK_SHARE * self.limits.compute_slack(team)
             debt = max(0.0, self.limits.compute_burst(team) - at_start - refilled)
-        return _TeamUsage(debt, now_ms)
+        return TeamUsage(debt, now_ms)
 
     def _compute_share(self, now_ms: float) -> float:
         """Return the share (0 to 1) of a quota for each instance that is cut off."""
@@ -461,7 +353,7 @@
         slack = share * self.limits.compute_slack(team)
         return max(1.0, self.limits.compute_quota(team) + slack)
 
-    def _describe(self, usage: _TeamUsage, team: Team, now_ms: float) -> QuotaState:
+    def _describe(self, usage: TeamUsage, team: Team, now_ms: float) -> QuotaState:
         cut_off = self._peers.list_cut_off(now_ms)
         if not cut_off:
             return QuotaState(usage.count_all(now_ms), 0.0, 0)
--- a/citronpaddle/teamquotas.py
+++ b/citronpaddle/teamquotas.py
@@ -7,7 +7,8 @@
 from .adapters.eventlog import Event, EventLog
 from .clock import Clock
 from .policy.catalog import Catalog, Team
-from .policy.quota import WIDE_REPORT_INTERVALS, QuotaLimits, QuotaPreview, Quotas
+from .policy.quota import WIDE_REPORT_INTERVALS, QuotaPreview, Quotas
+from .policy.quotalimits import QuotaLimits
 from .policy.quotapeers import QuotaReport
 
 # Delay of a report that others need at once: requests that arrive together share it.
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -8,7 +8,7 @@
 import asyncio
 import os
 import selectors
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from test_fleet import make_config, make_entry
@@ -577,3 +577,26 @@
         for instance in self.instances.values():
             await instance.kill()
         os.close(self.log_descriptor)
+
+
+def run_fleet(
+    scenario: Callable[[FleetWorld], Awaitable[None]],
+    count: int,
+    seed: int,
+    watch_interval_ms: float,
+    settling_s: float,
+) -> None:
+    """Run `scenario` in virtual time with `count` instances, `settling_s` after their start."""
+
+    async def run() -> None:
+        world = FleetWorld(seed, count, watch_interval_ms)
+        for number in range(count):
+            await world.start_instance(number)
+        await asyncio.sleep(settling_s)
+        try:
+            await scenario(world)
+        finally:
+            await world.stop()
+
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        runner.run(run())
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -19,7 +19,7 @@
 from citronpaddle.platform.store import HttpStateStore
 from citronpaddle.policy.exposure import ExposureLimits
 from citronpaddle.policy.extraload import ExtraLoadLimits
-from citronpaddle.policy.quota import QuotaLimits
+from citronpaddle.policy.quotalimits import QuotaLimits
 from citronpaddle.policy.slowstart import ColdLimits
 from citronpaddle.randomness import RandomSource
 
--- a/tests/quotaworld.py
+++ b/tests/quotaworld.py
@@ -7,7 +7,8 @@
 from itertools import count
 
 from citronpaddle.policy.catalog import Team
-from citronpaddle.policy.quota import WIDE_REPORT_INTERVALS, QuotaLimits, Quotas
+from citronpaddle.policy.quota import WIDE_REPORT_INTERVALS, Quotas
+from citronpaddle.policy.quotalimits import QuotaLimits
 from citronpaddle.randomness import RandomSource
 
 LIMITS = QuotaLimits(window_ms=5_000.0, overshoot=0.1, slack=20.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,8 @@
 from citronpaddle.policy.catalog import ServiceLimits, Team
 from citronpaddle.policy.demand import Demand
 from citronpaddle.policy.placement import Step, find_placement
-from citronpaddle.policy.quota import QuotaLimits, Quotas
+from citronpaddle.policy.quota import Quotas
+from citronpaddle.policy.quotalimits import QuotaLimits
 from citronpaddle.policy.registry import Registry, Upstream
 from citronpaddle.policy.selection import Selector
 from citronpaddle.policy.sharing import Sharing
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -12,7 +12,8 @@
 
 from citronpaddle.adapters.hintchannel import MAX_DATAGRAM_BYTES, PeerMessage, decode, encode
 from citronpaddle.policy.catalog import Team
-from citronpaddle.policy.quota import MAX_REPORT_BYTES, MAX_UNKNOWN_TEAMS, QuotaLimits, Quotas
+from citronpaddle.policy.quota import MAX_REPORT_BYTES, MAX_UNKNOWN_TEAMS, Quotas
+from citronpaddle.policy.quotalimits import QuotaLimits
 from citronpaddle.policy.quotapeers import QuotaReport
 
 TEAM = Team("alder", None, 10.0, 10.0)
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -10,7 +10,7 @@
 
 import pytest
 from fakestore import FakeStore
-from fleetworld import FleetWorld, SimulatedInstance, VirtualTimeLoop
+from fleetworld import FleetWorld, SimulatedInstance, run_fleet
 from platformworld import StoreStandIn
 from test_fleet import Follower, make_entry
 
@@ -25,19 +25,7 @@
 
 def _run(scenario: Callable[[FleetWorld], Awaitable[None]], count: int, seed: int) -> None:
     """Run `scenario` with `count` instances that follow the store, in virtual time."""
-
-    async def run() -> None:
-        world = FleetWorld(seed, count, 900.0)
-        for number in range(count):
-            await world.start_instance(number)
-        await asyncio.sleep(5.0)
-        try:
-            await scenario(world)
-        finally:
-            await world.stop()
-
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        runner.run(run())
+    run_fleet(scenario, count, seed, 900.0, 5.0)
 
 
 def _list_running(world: FleetWorld) -> list[SimulatedInstance]:
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -3,26 +3,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from fleetworld import FleetWorld, VirtualTimeLoop
+from fleetworld import FleetWorld, run_fleet
 
 OUTAGE_S = 6.0
 
 
 def _run(scenario: Callable[[FleetWorld], Awaitable[None]]) -> None:
     """Run `scenario` with twelve instances of one domain, after they have settled."""
-
-    async def run() -> None:
-        world = FleetWorld(1, 12, 1_500.0)
-        for number in range(12):
-            await world.start_instance(number)
-        await asyncio.sleep(10.0)
-        try:
-            await scenario(world)
-        finally:
-            await world.stop()
-
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        runner.run(run())
+    run_fleet(scenario, 12, 1, 1_500.0, 10.0)
 
 
 def _count_calls(world: FleetWorld) -> int:
