--- a/review/harness2/proxy.py
+++ b/review/harness2/proxy.py
@@ -4,6 +4,9 @@
 import contextlib
 
 WATCH_CALL = b"GET /citronpaddle/kv-watch"
+RENEWAL_CALL = b"POST /citronpaddle/kv-keep"
+# The watch is reset at most this long after a renewal of the lease, which comes every 2.4 s.
+AFTER_RENEWAL_S = 1.0
 
 
 class StoreProxy:
@@ -15,6 +18,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         # The connections on which a watch waits for its answer.
         self._watching: set[asyncio.StreamWriter] = set()
+        self._renewed_s = 0.0
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -31,9 +35,10 @@
     async def reset_watch(self) -> int:
         """Reset the connection of the pending watch; return how many connections were left.
 
-        Wait for the next watch if none is pending.
+        Wait until a watch is pending and the lease was renewed in the last `AFTER_RENEWAL_S`.
         """
-        while not self._watching:
+        loop = asyncio.get_running_loop()
+        while not self._watching or loop.time() - self._renewed_s > AFTER_RENEWAL_S:
             await asyncio.sleep(0.01)
         watching = set(self._watching)
         for writer in watching:
@@ -66,6 +71,8 @@
             while data := await reader.read(65_536):
                 if data.startswith(WATCH_CALL):
                     self._watching.add(writer)
+                elif data.startswith(RENEWAL_CALL):
+                    self._renewed_s = asyncio.get_running_loop().time()
                 server.write(data)
         server.close()
 
