--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
-"""Backends leave just after a connection of one instance to the store was reset."""
+"""A machine is lost for good, and a connection of another one to the store is reset."""
 
 import asyncio
+import json
 import random
 import sys
 from pathlib import Path
@@ -8,92 +9,82 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from harness2.backend import Backend
-from harness2.client import make_attempt_id, send
+from harness2.client import send
 from harness2.proxy import StoreProxy
 from harness2.script import World, run
 
 SERVICE = "archive"
 ZONES = ("noord-a", "midden-a", "zuid-a")
-# The bounds of the settings, in seconds.
+# The machines of the first zone: the one whose directory is asked, one that is lost, and others.
+LOCAL_MACHINES = 4
 CONTACT_S = 4.0
-DRAIN_S = 3.0
-ROUNDS = 9
-# From the reset to the removal of the backend's entry.
-REMOVED_AFTER_S = 1.2
-# The backend goes on serving for `DRAIN_S` after the removal, and this long after that.
-SERVES_LONGER_S = 2.0
-REQUESTS_PER_S = 20.0
-
-
-async def _send_one(world: World, port: int) -> None:
-    attempt = make_attempt_id()
-    world.record.add("sent", attempt=attempt)
-    answer = await send(port, f"/{SERVICE}/deed", attempt)
-    world.record.add("answered", attempt=attempt, status=answer.status)
-
-
-async def _load(world: World, port: int) -> None:
-    pending = set()
+# The directory may name a lost machine for `contact_ms` + 3 s.
+NAMED_S = CONTACT_S + 3.0
+MOST_ANSWERS = 3
+ROUNDS = 6
+RESET_AFTER_S = 1.5
+LOST_FOR_S = 12.0
+LOOK_UP_INTERVAL_S = 0.2
+
+
+async def _look_up(world: World, port: int) -> None:
+    """Ask the directory of a machine for addresses again and again, as its clients do."""
+    target = f"/citronpaddle/resolve?name=h.example&region=noord&zone={ZONES[0]}"
     while True:
-        await asyncio.sleep(random.uniform(0.5, 1.5) / REQUESTS_PER_S)
-        task = asyncio.create_task(_send_one(world, port))
-        pending.add(task)
-        task.add_done_callback(pending.discard)
-
-
-async def _start_backend(world: World, name: str, zone: str) -> Backend:
-    backend = Backend(name, SERVICE, zone, world.record)
-    await backend.start()
-    world.servers.append(backend)
-    backend.write_entry(world.store)
-    return backend
+        answer = await send(port, target)
+        if answer.status == 200:
+            world.record.add("answered", addresses=json.loads(answer.body)["addrs"])
+        await asyncio.sleep(LOOK_UP_INTERVAL_S)
 
 
 async def case(world: World) -> str | None:
     proxy = StoreProxy(world.store.port)
     await proxy.start()
     world.servers.append(proxy)
-    for number, zone in enumerate(ZONES[1:]):
-        await _start_backend(world, f"i-stays-{number}", zone)
+    backend = Backend("i-1", SERVICE, ZONES[0], world.record)
+    await backend.start()
+    world.servers.append(backend)
+    backend.write_entry(world.store)
     world.configure([{"prefix": f"/{SERVICE}/", "service": SERVICE}], [SERVICE])
-    instance = world.add_instance(ZONES[0], proxy.port)
+    asked = world.add_instance(ZONES[0], proxy.port)
+    for _ in range(LOCAL_MACHINES - 1):
+        world.add_instance(ZONES[0])
     for zone in ZONES[1:]:
         world.add_instance(zone)
     await world.start_instances()
-    load = asyncio.create_task(_load(world, instance.ports["front"]))
-    late: list[str] = []
+    look_up = asyncio.create_task(_look_up(world, asked.ports["directory"]))
+    late = 0
     for number in range(ROUNDS):
-        leaving = await _start_backend(world, f"i-leaves-{number}", ZONES[0])
-        await asyncio.sleep(3.0 + random.uniform(0.0, 2.0))
-        late += await _run_round(world, proxy, leaving)
-    load.cancel()
-    served = len(world.record.select("answered", status=200))
-    if not served:
-        raise RuntimeError("no request was served")
-    print(f"{served} requests served, {len(late)} of them late at a backend that had left")
-    return f"DRAIN: {late}" if late else None
-
-
-async def _run_round(world: World, proxy: StoreProxy, leaving: Backend) -> list[str]:
-    """Return the requests that reached the backend too late, by an instance in touch."""
+        await asyncio.sleep(2.5 + random.uniform(0.0, 2.0))
+        lost = world.instances[1 + number % (LOCAL_MACHINES - 1)]
+        late += await _run_round(world, proxy, lost)
+    look_up.cancel()
+    if not world.record.select("answered"):
+        raise RuntimeError("the directory has not answered")
+    print(f"{late} answers name a machine that was lost more than {NAMED_S:.0f} s before")
+    return f"DRAIN: {late} answers" if late > MOST_ANSWERS else None
+
+
+async def _run_round(world: World, proxy: StoreProxy, lost) -> int:
+    """Return the number of answers that name a lost machine too late, by a machine in touch."""
+    lost.kill()
+    killed = world.record.now()
+    world.record.add("lost", name=lost.name)
+    await asyncio.sleep(RESET_AFTER_S)
+    in_touch = killed
     if world.has_trouble:
         world.record.add("reset", connections_left=await proxy.reset_watch())
-    in_touch = world.record.now() + CONTACT_S
-    await asyncio.sleep(REMOVED_AFTER_S)
-    # The backend doesn't report `draining`: its entry is removed, and it goes on serving.
-    world.store.delete(f"servers/{leaving.id}")
-    removed = world.record.now()
-    world.record.add("removed", backend=leaving.id)
-    await asyncio.sleep(DRAIN_S + SERVES_LONGER_S)
-    await leaving.stop()
-    sent = {one["attempt"]: one["t"] for one in world.record.select("sent")}
+        in_touch = world.record.now() + CONTACT_S
+    await asyncio.sleep(LOST_FOR_S - RESET_AFTER_S)
+    address = f"127.0.0.1:{lost.ports['front']}"
     late = [
-        one["attempt"]
-        for one in world.record.select("run", backend=leaving.id)
-        if one["t"] > removed + DRAIN_S and sent[one["attempt"]] > in_touch
+        one["t"]
+        for one in world.record.select("answered")
+        if one["t"] > max(in_touch, killed + NAMED_S) and address in one["addresses"]
     ]
     world.record.add("round", in_touch=round(in_touch, 3), late=late)
-    return late
+    lost.start()
+    return len(late)
 
 
 if __name__ == "__main__":
