--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -137,7 +137,7 @@
                 continue
             self._begin_era(view.era)
             self._availability.handle_answer()
-            self._state.store_read_ms = self._clock.now_ms()
+            self._state.record_store_answer(self._clock.now_ms())
             self._updater.apply_view(view)
             retry_ms = self._times.first_retry_ms
             await self._watch()
@@ -170,7 +170,7 @@
                 await self._availability.wait_for_return(changes)
                 continue
             self._availability.handle_answer()
-            self._state.store_read_ms = self._clock.now_ms()
+            self._state.record_store_answer(self._clock.now_ms())
             self._updater.apply_changes(changes.items, changes.revision)
             self._relay(after, changes)
             interval_ms = self._choose_interval_ms(changes)
--- a/citronpaddle/sharedstate.py
+++ b/citronpaddle/sharedstate.py
@@ -61,8 +61,9 @@
     """The shared state as known to this instance; `catalog` is None until the first configuration.
 
     `confirmed_ms` is when the state was last confirmed to be current, `store_read_ms` when the
-    store last answered this instance's own watch or read; both are monotonic times. `revision` is a
-    revision of the store's `era`; it is 0 until the store has been read in that era.
+    store last answered this instance's own watch or read; both are monotonic times. `answer_gap_ms`
+    is the time between the last two of these answers. `revision` is a revision of the store's
+    `era`; it is 0 until the store has been read in that era.
     """
 
     registry: Registry
@@ -71,9 +72,15 @@
     revision: int = 0
     confirmed_ms: float = 0.0
     store_read_ms: float = 0.0
+    answer_gap_ms: float = 0.0
     is_store_lost: bool = False
     era: int = 0
 
+    def record_store_answer(self, now_ms: float) -> None:
+        """Record that the store has answered this instance's own watch or read."""
+        self.answer_gap_ms = now_ms - self.store_read_ms if self.store_read_ms else 0.0
+        self.store_read_ms = now_ms
+
 
 class StateUpdater:
     """Applies the store's items to the shared state."""
@@ -287,6 +294,7 @@
                 version=decoded.version,
                 previous=current.version if current else None,
                 store_revision=revision,
+                answer_gap_ms=round(self._state.answer_gap_ms),
                 routes=len(decoded.routes),
             )
 
--- a/tests/fleetworld.py
+++ b/tests/fleetworld.py
@@ -51,6 +51,7 @@
 
 # The limits of the platform's store and of the product's client for it.
 MAX_CHANGES = 1_000
+MAX_ANSWER_BYTES = 1_000_000
 PAGE_ITEMS = 500
 CALL_TIMEOUT_MS = 2_000.0
 WATCH_MARGIN_MS = 2_000.0
@@ -111,7 +112,8 @@
     """The platform's store: items, history and leases.
 
     While `are_watches_silent`, watches are answered only when their wait is over. `delay_ms` is the
-    time of each call.
+    time of each call. While `loses_writes`, leases are neither granted nor used for a write, and
+    such calls get no answer.
     """
 
     def __init__(self) -> None:
@@ -123,6 +125,7 @@
         self.are_watches_silent = False
         self.is_down = False
         self.delay_ms = 4.0
+        self.loses_writes = False
         self.changed = asyncio.Event()
         self._leases: dict[int, tuple[float, set[str]]] = {}
         self.era = 1
@@ -223,9 +226,16 @@
         first = len(self.history)
         while first and self.history[first - 1].revision > revision:
             first -= 1
-        changes = tuple(self.history[first : first + MAX_CHANGES])
-        end = changes[-1].revision if len(changes) == MAX_CHANGES else self.revision
-        return StoreChanges(changes, end, self.era)
+        changes: list[StoreItem] = []
+        size_bytes = 0
+        for item in self.history[first : first + MAX_CHANGES]:
+            size_bytes += len(item.value or b"")
+            if changes and size_bytes > MAX_ANSWER_BYTES:
+                break
+            changes.append(item)
+        is_truncated = first + len(changes) < len(self.history)
+        end = changes[-1].revision if is_truncated else self.revision
+        return StoreChanges(tuple(changes), end, self.era)
 
 
 class Path(StateStore):
@@ -268,6 +278,13 @@
         except ConnectionError as error:
             return StoreFailure(str(error))
 
+    async def _write(self, answer: Callable[[], Any]) -> Any:
+        """Call the store with a write, which is lost while the store loses writes."""
+        if self._store.loses_writes:
+            await asyncio.sleep(CALL_TIMEOUT_MS / 1_000)
+            return StoreFailure("timeout")
+        return await self._call(answer)
+
     def _check_era(self, era: int, result: Any) -> Any:
         """Return the result, or a failure if it is from an earlier era."""
         if era < self._era:
@@ -366,7 +383,7 @@
         return self._check_era(era, answer)
 
     async def grant_lease(self, ttl_ms: float) -> Lease | StoreFailure:
-        lease = await self._call(lambda: self._store.grant(ttl_ms, LoopClock().now_ms()))
+        lease = await self._write(lambda: self._store.grant(ttl_ms, LoopClock().now_ms()))
         return lease if isinstance(lease, StoreFailure) else lease._replace(era=self._era)
 
     async def renew_lease(
@@ -383,7 +400,7 @@
         return await self._call(lambda: self._store.end(lease.id))
 
     async def put(self, key: str, value: bytes, lease: Lease) -> LeaseEnded | StoreFailure | None:
-        is_written = await self._call(lambda: self._store.put(key, value, lease))
+        is_written = await self._write(lambda: self._store.put(key, value, lease))
         if isinstance(is_written, StoreFailure):
             return is_written
         return None if is_written and lease.era == self._era else LeaseEnded()
