Check a pending watch with a read that is not stale

What callers saw: 404 for routes that had been added over 3 s before (CONFIG).

Cause: a watch that the store never answers was found by comparing its revision with one from a read that may be stale. After the store has dropped its history, such reads are up to 8 s behind, long after instances count as in touch again, so that a change was found that much later, plus 1.5 s and 1.0 s. A watch is left without an answer if it is called while the store is silent for a second, which fails no other call: a renewal is repeated.

Change: the check reads the present revision. It costs a call in place of a tenth, so it is made only for a watch that has been pending for 1.5 s, and not while the store is lost, whose return ends the watch.

Tests: test_revision_that_the_watch_is_compared_with_is_not_stale fails before. test_late_changes sums the other times of the link and passed before, too.

--- a/citronpaddle/availability.py
+++ b/citronpaddle/availability.py
@@ -53,10 +53,11 @@
     # connection may have become silent, while the store answers on a new one.
     renew_timeout_ms: float = 1_000.0
     renew_repeat_ms: float = 400.0
-    # Interval of the comparison of the store's revision with the one that the watch has reached,
-    # and how much longer than the check a watch may take to reach it: together they are less than
-    # the shortest time within which an instance must have recovered, 4 s. A check costs a tenth of
-    # a call. One that was not answered is followed by the next after a shorter time.
+    # A watch that has been pending for this long is checked, again after each further interval: the
+    # store's revision is compared with the one that the watch has reached. The second time is how
+    # much longer than the check a watch may take to reach it. Together they are less than the
+    # shortest time within which an instance must have recovered, 4 s. A check costs a call. One
+    # that was not answered is followed by the next after a shorter time.
     check_ms: float = 1_500.0
     check_tolerance_ms: float = 1_000.0
     check_retry_ms: float = 300.0
--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -62,6 +62,7 @@
         # Set when other instances have changes that this instance has missed.
         self._has_gap = asyncio.Event()
         self._pending_watch: asyncio.Future | None = None
+        self._watch_called_ms = 0.0
         # Set when the pending watch may never be answered.
         self._is_watch_suspect = asyncio.Event()
         self._availability = StoreAvailability(
@@ -251,6 +252,7 @@
         wait_ms = self._times.watcher_wait_ms if is_watcher else self._times.watch_wait_ms
         watch = asyncio.ensure_future(self._store.watch("", after, wait_ms))
         self._pending_watch = watch
+        self._watch_called_ms = self._clock.now_ms()
         doubts = [
             asyncio.ensure_future(self._is_watch_suspect.wait()),
             asyncio.ensure_future(self._wait_for_overdue_gap()),
@@ -279,29 +281,33 @@
         self._log.write(Event.WATCH_SILENT, "fleet", known=self._state.revision, reason="gap")
 
     async def _check_watch(self) -> None:
-        """Compare the store's revision with the watch's periodically, to detect a stuck watch."""
+        """Compare the store's revision with that of a watch that is pending for long."""
         was_unanswered = False
+        pause_ms = self._times.check_ms
         while True:
-            pause_ms = self._times.check_retry_ms if was_unanswered else self._times.check_ms
             await asyncio.sleep(pause_ms / 1_000)
-            if self._is_fed():
-                # The watchers advertise their revision and check it themselves.
-                was_unanswered = False
-                continue
+            pause_ms = self._times.check_ms
             watch = self._pending_watch
-            if watch is None and self._state.is_store_lost:
-                # The watch is called again once another call is answered.
+            if watch is None or self._is_fed() or self._state.is_store_lost:
+                # The watchers of a fed instance check the revision themselves, and a watch that is
+                # pending when a lost store returns is called again.
                 was_unanswered = False
                 continue
+            pending_ms = self._clock.now_ms() - self._watch_called_ms
+            if pending_ms < pause_ms and not was_unanswered:
+                # The watch was answered a short time ago.
+                pause_ms -= pending_ms
+                continue
             revision = await self._store.read_revision()
             self._begin_era(self._store.era)
             if isinstance(revision, StoreFailure):
                 was_unanswered = True
+                pause_ms = self._times.check_retry_ms
             elif was_unanswered:
                 # What was lost with the check may have been the answer of the watch, too.
                 was_unanswered = False
                 self._suspect_watch("unanswered check", revision)
-            elif watch is not None and revision > self._state.revision:
+            elif revision > self._state.revision:
                 await self._expect_progress(watch, revision)
 
     async def _expect_progress(self, watch: asyncio.Future, revision: int) -> None:
--- a/citronpaddle/platform/store.py
+++ b/citronpaddle/platform/store.py
@@ -81,8 +81,9 @@
             after = page[-1].key
 
     async def read_revision(self) -> int | StoreFailure:
-        # A page without items that may be stale costs a tenth of a call and transfers few bytes.
-        answer = await self._call("GET", f"{_ROOT}/kv-range?prefix=%00&stale_ok=1")
+        # A page without items transfers few bytes. A cheaper read, which may be stale, would show a
+        # change only seconds later.
+        answer = await self._call("GET", f"{_ROOT}/kv-range?prefix=%00")
         if isinstance(answer, StoreFailure):
             return answer
         revision = answer[1].get("as_of") if isinstance(answer[1], dict) else None
--- a/citronpaddle/statestore.py
+++ b/citronpaddle/statestore.py
@@ -113,7 +113,7 @@
 
     @abstractmethod
     async def read_revision(self) -> int | StoreFailure:
-        """Return a revision that the store has reached, by the cheapest call."""
+        """Return the present revision of the store by one call that transfers little."""
 
     @abstractmethod
     async def watch(
--- /dev/null
+++ b/tests/test_late_changes.py
@@ -0,0 +1,43 @@
+"""How late a confirmed configuration may be in force, link by link, in virtual time.
+
+The store keeps its promises but no more than those: an answer may be lost, and an answer has a
+largest size. An instance has a path to it for `CONTACT_S` before it is checked.
+"""
+
+import asyncio
+
+import pytest
+from fleetworld import FleetWorld, run_fleet
+
+# The bounds of the small sites.
+CONTACT_S = 4.0
+INTERVAL_MS = 900.0
+SETTLING_S = 6.0
+
+
+def run(scenario, settling_s: float = SETTLING_S) -> None:
+    """Run a scenario with one instance, which reads the store itself."""
+    run_fleet(scenario, 1, 1, INTERVAL_MS, settling_s)
+
+
+async def lose_answers(world: FleetWorld, for_s: float) -> None:
+    """Give no answer to the calls of the instance while a configuration is written."""
+    path = world.instances[0].path
+    path.set_fault("silent")
+    world.write_configuration()
+    await asyncio.sleep(for_s)
+    path.set_fault(None)
+
+
+@pytest.mark.parametrize("phase_s", [0.0, 0.2, 0.4, 0.6, 0.8, 1.0, 1.2, 1.4])
+@pytest.mark.parametrize("for_s", [0.1, 0.5, 0.9])
+def test_lost_answer_of_the_watch_is_found_in_time(for_s, phase_s):
+    """Guards against a check of the watch that comes too late for the time allowed."""
+
+    async def scenario(world):
+        await asyncio.sleep(phase_s)
+        await lose_answers(world, for_s)
+        await asyncio.sleep(CONTACT_S)
+        assert world.instances[0].version == 2
+
+    run(scenario)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from platformworld import StandIn
+from platformworld import StandIn, StoreStandIn
 
 from citronpaddle.adapters.connections import ConnectionPool
 from citronpaddle.adapters.httpserver import HttpRequest
@@ -279,3 +279,20 @@
         assert isinstance(revision, StoreFailure)
 
     asyncio.run(run())
+
+
+def test_revision_that_the_watch_is_compared_with_is_not_stale():
+    """Guards against a watch without an answer that is found only once stale reads show changes."""
+
+    async def run():
+        store = StoreStandIn()
+        await store.start()
+        store.stale_revision = store.revision
+        store.write("op/config", b"{}")
+        pool = ConnectionPool(SystemClock())
+        revision = await HttpStateStore(("127.0.0.1", store.port), pool).read_revision()
+        pool.close()
+        await store.stop()
+        assert revision == store.revision
+
+    asyncio.run(run())
