Let an instance without a configuration retry its own watch

What callers saw: 503 for up to 5 s after the first configuration had been confirmed, at an instance that had started before it and whose watch failed.

Cause: while there is no configuration, the registration waits for an answer to the follower. The follower retried only its full reads itself; after a failed watch it waited for the registration. Each waited for the other, until `max_return_wait_ms` and jitter were over.

Change: the follower has one rule for both calls. Without a configuration it retries; with one it waits for the registration.

--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -131,10 +131,7 @@
             self._updater.begin_full_read()
             view = await self._store.read_all("")
             if isinstance(view, StoreFailure):
-                if self._availability.is_unready:
-                    retry_ms = await self._availability.pause(view, retry_ms)
-                else:
-                    await self._availability.wait_for_return(view)
+                retry_ms = await self._wait_after_failure(view, retry_ms)
                 continue
             self._begin_era(view.era)
             self._availability.handle_answer()
@@ -143,6 +140,17 @@
             retry_ms = self._times.first_retry_ms
             await self._watch()
 
+    async def _wait_after_failure(self, failure: StoreFailure, retry_ms: float) -> float:
+        """Wait until the next call is due; return the pause in ms after a further failure.
+
+        The registration retries, since the lease has the shortest time limit; but without a
+        configuration it waits for this task.
+        """
+        if self._availability.is_unready:
+            return await self._availability.pause(failure, retry_ms)
+        await self._availability.wait_for_return(failure)
+        return self._times.first_retry_ms
+
     async def _watch(self) -> None:
         """Apply changes until the full state must be read again.
 
@@ -150,6 +158,7 @@
         """
         # If all instances start together, each new entry would end the first watch of all others.
         await asyncio.sleep(self._times.watch_interval_ms / 1_000)
+        retry_ms = self._times.first_retry_ms
         while True:
             if self._is_fed() and not await self._wait_for_gap():
                 continue
@@ -167,9 +176,9 @@
                 self._log.write(Event.HISTORY_LOST, "fleet", after_revision=after)
                 return
             if isinstance(changes, StoreFailure):
-                # The registration retries, since the lease has the shortest time limit.
-                await self._availability.wait_for_return(changes)
+                retry_ms = await self._wait_after_failure(changes, retry_ms)
                 continue
+            retry_ms = self._times.first_retry_ms
             self._availability.handle_answer()
             self._state.record_store_answer(self._clock.now_ms())
             self._updater.apply_changes(changes.items, changes.revision)
--- a/tests/test_late_changes.py
+++ b/tests/test_late_changes.py
@@ -11,6 +11,7 @@
 
 # The bounds of the small sites.
 CONTACT_S = 4.0
+APPLY_S = 3.0
 INTERVAL_MS = 900.0
 SETTLING_S = 6.0
 
@@ -41,3 +42,33 @@
         assert world.instances[0].version == 2
 
     run(scenario)
+
+
+@pytest.mark.parametrize("length_s", [1.0, 2.0, 3.0, 4.0, 5.0, 6.0])
+@pytest.mark.parametrize("fault", ["busy", "reset", "silent"])
+def test_first_configuration_is_read_after_an_outage_before_it(fault, length_s):
+    """Guards against two tasks of which each waits for the other's call while none is made."""
+
+    async def scenario(world):
+        path = world.instances[0].path
+        path.set_fault(fault)
+        await asyncio.sleep(length_s)
+        path.set_fault(None)
+        world.write_configuration()
+        await asyncio.sleep(APPLY_S)
+        assert world.instances[0].version > 0
+
+    run_without_configuration(scenario)
+
+
+def run_without_configuration(scenario) -> None:
+    """Run a scenario with an instance that starts before the first configuration is written."""
+
+    async def start_again(world):
+        await world.instances[0].kill()
+        world.store.write("op/config", None)
+        await world.start_instance(0)
+        await asyncio.sleep(SETTLING_S)
+        await scenario(world)
+
+    run(start_again, 0.0)
