Retry reads while the registration can only write

What callers saw: an old configuration for up to 5 s after a watch was cut, at an instance whose lease had ended and whose writes got no answer.

Cause: after a failed call the follower waits until a call of the registration is answered. Without a lease the registration makes writes (grant, put), each of which takes 2 s to fail and a pause of up to 1 s, so that changes waited for a write although reads were answered. Class: one task waits for the success of another that needs more than it does.

Change: the follower waits for the registration only while that has a lease to renew. Without one it retries itself.

Result: the four cases of test_change_is_read_while_writes_get_no_answer fail before (version 1 after 3 s) and pass; test_store_calls passes with its bounds unchanged.

--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -144,9 +144,10 @@
         """Wait until the next call is due; return the pause in ms after a further failure.
 
         The registration retries, since the lease has the shortest time limit; but without a
-        configuration it waits for this task.
+        configuration it waits for this task, and without a lease it makes writes, which may get no
+        answer while reads do.
         """
-        if self._availability.is_unready:
+        if self._availability.is_unready or not self._registration.has_lease:
             return await self._availability.pause(failure, retry_ms)
         await self._availability.wait_for_return(failure)
         return self._times.first_retry_ms
--- a/citronpaddle/registration.py
+++ b/citronpaddle/registration.py
@@ -63,6 +63,11 @@
         # Set when the next call is due at once.
         self._is_due = asyncio.Event()
 
+    @property
+    def has_lease(self) -> bool:
+        """Return whether this instance's next call renews a lease, and is no write."""
+        return self._lease is not None
+
     async def leave(self) -> None:
         """Remove this instance from the list of instances by one call, without a retry."""
         self._is_leaving = True
--- a/tests/test_late_changes.py
+++ b/tests/test_late_changes.py
@@ -44,6 +44,26 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("phase_s", [0.0, 0.5, 1.0, 1.5])
+def test_change_is_read_while_writes_get_no_answer(phase_s):
+    """Guards against a watch that waits for the answer to a write after it was cut."""
+
+    async def scenario(world):
+        path = world.instances[0].path
+        world.store.loses_writes = True
+        for key in [key for key in world.store.items if key.startswith("citronpaddle/")]:
+            world.store.write(key, None)
+        await asyncio.sleep(1.0 + phase_s)
+        path.set_fault("reset")
+        await asyncio.sleep(0.005)
+        path.set_fault(None)
+        world.write_configuration()
+        await asyncio.sleep(APPLY_S)
+        assert world.instances[0].version == 2
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("length_s", [1.0, 2.0, 3.0, 4.0, 5.0, 6.0])
 @pytest.mark.parametrize("fault", ["busy", "reset", "silent"])
 def test_first_configuration_is_read_after_an_outage_before_it(fault, length_s):
