Read a backlog of large changes without pauses

What callers saw: an old configuration for seconds after the path to the store was back, while many large versions had been written meanwhile.

Cause: an answer with 100 changes or more may be truncated, so that the next watch follows without a pause. One that is truncated by its size, 1 MB, has far fewer, and each was followed by a pause of 0.3 of config_apply_ms. Class: a limit in one unit where the other side has two.

Change: 100 KB count as a possible truncation too.

Result: test_large_changes_after_a_cut_are_read_without_pauses (16 versions of 0.5 MB during a cut of 8 s) fails before, with version 6 in place of 17 after 4 s, and passes.

--- a/citronpaddle/fleet.py
+++ b/citronpaddle/fleet.py
@@ -18,9 +18,10 @@
 from .statestore import HistoryLost, StateStore, StoreChanges, StoreFailure
 from .supervision import restart_on_error
 
-# A watch answer with this many changes may have been truncated to the store's largest answer, about
-# 1,000 changes or 1 MB, so the next watch is called without a pause.
+# A watch answer with this many changes or bytes may have been truncated to the store's largest
+# answer, about 1,000 changes or 1 MB, so the next watch is called without a pause.
 MAYBE_TRUNCATED_CHANGES = 100
+MAYBE_TRUNCATED_BYTES = 100_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +187,7 @@
             self._relay(after, changes)
             interval_ms = self._choose_interval_ms(changes)
             remaining_ms = interval_ms - (self._clock.now_ms() - called_ms)
-            if remaining_ms > 0 and len(changes.items) < MAYBE_TRUNCATED_CHANGES:
+            if remaining_ms > 0 and not _may_be_truncated(changes):
                 await asyncio.sleep(remaining_ms / 1_000)
 
     def _choose_interval_ms(self, changes: StoreChanges) -> float:
@@ -339,3 +340,10 @@
             reason=reason,
         )
         self._is_watch_suspect.set()
+
+
+def _may_be_truncated(changes: StoreChanges) -> bool:
+    """Return whether the store may have had more changes than it answered a watch with."""
+    if len(changes.items) >= MAYBE_TRUNCATED_CHANGES:
+        return True
+    return sum(len(item.value or b"") for item in changes.items) >= MAYBE_TRUNCATED_BYTES
--- a/tests/test_late_changes.py
+++ b/tests/test_late_changes.py
@@ -5,15 +5,19 @@
 """
 
 import asyncio
+import json
 
 import pytest
 from fleetworld import FleetWorld, run_fleet
+from test_fleet import make_config
 
 # The bounds of the small sites.
 CONTACT_S = 4.0
 APPLY_S = 3.0
 INTERVAL_MS = 900.0
 SETTLING_S = 6.0
+# Half of the largest value that the store takes.
+LARGE_VALUE_BYTES = 524_288
 
 
 def run(scenario, settling_s: float = SETTLING_S) -> None:
@@ -64,6 +68,23 @@
     run(scenario)
 
 
+def test_large_changes_after_a_cut_are_read_without_pauses():
+    """Guards against a pause after each answer while large changes fill several of them."""
+
+    async def scenario(world):
+        path = world.instances[0].path
+        path.set_fault("cut")
+        for version in range(2, 18):
+            document = json.loads(make_config(version)) | {"padding": "x" * LARGE_VALUE_BYTES}
+            world.store.write("op/config", json.dumps(document).encode())
+            await asyncio.sleep(0.5)
+        path.set_fault(None)
+        await asyncio.sleep(CONTACT_S)
+        assert world.instances[0].version == 17
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("length_s", [1.0, 2.0, 3.0, 4.0, 5.0, 6.0])
 @pytest.mark.parametrize("fault", ["busy", "reset", "silent"])
 def test_first_configuration_is_read_after_an_outage_before_it(fault, length_s):
