--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -117,3 +117,27 @@
         yield from repeat(get % number + b"\r\n", 1_000_000)
 
     run_crowd(tmp_path, lambda process, crowd: crowd.send(60, make_packets))
+
+
+def test_bodies_of_one_byte_chunks_that_stop_short_of_their_end(tmp_path):
+    """Guards against small pieces, which take most processor time, and never make a request."""
+
+    def make_packets(number):
+        yield CHUNKED % number
+        yield from repeat(b"1\r\nx\r\n", 400_000)
+
+    run_crowd(tmp_path, lambda process, crowd: crowd.send(MANY, make_packets))
+
+
+def test_short_trailers_without_end_on_one_connection_after_the_other(tmp_path):
+    """Guards against callers that are refused and come back at once with the same."""
+
+    def make_packets(number):
+        yield CHUNKED % number + b"1\r\nx\r\n0\r\n"
+        yield from repeat(b"a:b\r\n", 200_000)
+
+    async def scenario(process, crowd):
+        for _ in range(4):
+            await crowd.send(100, make_packets)
+
+    run_crowd(tmp_path, scenario)
