Parse what callers send in turns, costly requests last

What callers saw: beside 600 clients that send bodies in one-byte chunks and stop short, or trailers without end, ordinary clients got no answer, also for seconds after the crowd had left.

Cause: each readable socket was read and parsed to the end in one call, up to 256 KB, which are 40,000 chunks or 50,000 fields. Memory was limited, processor time was not. Class: a limit on one resource of a request (bytes) taken for a limit on another (work).

Change: received bytes are kept (16 KB at most, then reading pauses) and parsed in turns of 256 bytes to 16 KB, which grow only while they hold little work. Work is counted in header fields, trailer fields, pieces of bodies and requests (policy/turns): about 1,000 units in a pass of the event loop over all three listening sockets. Requests that have cost little come first; one costly one has a turn in each pass, so that it is served too. Of more than 64 costly requests the costliest is refused, 503 with Retry-After. With nothing waiting a turn is taken at once, as before.

--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -13,6 +13,7 @@
 from ..clock import Clock
 from ..policy.catalog import CallerLimits
 from ..policy.receiving import UNCOUNTED_BYTES, ConnectionState, LimitReason, Phase, is_body_overdue
+from ..policy.turns import MIN_TURN_BYTES, REQUEST_WORK, choose_turn_bytes
 from .framing import MessageSizes
 from .httpclient import set_keep_alive
 from .httpserver import HttpAnswer, HttpRequest, format_answer
@@ -28,9 +29,11 @@
 }
 # Sent with a refusal for lack of memory or connections; the value is in seconds.
 _RETRY_AFTER = ((b"Retry-After", b"1"),)
-# Bytes kept from a caller that sends its next request before the answer to the last one; above
-# that, reading pauses.
+# Bytes that a connection keeps until they are parsed; above that, reading pauses.
 MAX_UNPARSED_BYTES = 16_384
+# All connections receive into the same buffer and copy from it at once. Its size is the most that
+# one of them reads in a pass of the event loop.
+_RECEIVE_BUFFER = memoryview(bytearray(MAX_UNPARSED_BYTES))
 
 
 class RequestHandler(ABC):
@@ -49,10 +52,11 @@
         """Handle the disconnect of the caller whose request is in progress."""
 
 
-class CallerConnection(asyncio.Protocol, LimitedConnection):
+class CallerConnection(asyncio.BufferedProtocol, LimitedConnection):
     """One connection of a caller; requests are read one after the other.
 
-    Bytes that arrive while a request is in progress are kept, and parsed after its answer.
+    Bytes are kept until it is the connection's turn to parse some of them, and while a request is
+    in progress.
     """
 
     def __init__(
@@ -75,6 +79,7 @@
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._unparsed = bytearray()
+        self._turn_bytes = MIN_TURN_BYTES
         self._idle_since_ms = clock.now_ms()
         self._held_bytes = 0
         self._in_progress_bytes = 0
@@ -120,37 +125,59 @@
     def resume_writing(self) -> None:
         self._is_writing_paused = False
         self._report_held()
-        self._parse_rest()
+        self._request_turn()
+
+    def get_buffer(self, size_hint: int) -> memoryview:
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, size_bytes: int) -> None:
+        self.data_received(bytes(_RECEIVE_BUFFER[:size_bytes]))
 
     def data_received(self, data: bytes) -> None:
+        """Keep `data`, and parse it when it is this connection's turn."""
         if self._is_closed:
             return
-        if self.is_busy or self._is_writing_paused or self._unparsed:
-            self._keep_unparsed(data)
-        else:
-            self._parse(data)
-
-    def _keep_unparsed(self, data: bytes | memoryview) -> None:
         self._unparsed += data
-        if len(self._unparsed) > MAX_UNPARSED_BYTES:
+        if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._is_reading_paused:
             # Otherwise reading continues, since only that reports that a caller has disconnected.
             self._is_reading_paused = True
             self._transport.pause_reading()
-        self._report_held()
+        self._request_turn()
+        if self._unparsed:
+            self._report_held()
 
-    def _parse_rest(self) -> None:
-        """Parse the bytes that arrived during the last request, unless another one is handled."""
-        if self._is_closed or self.is_busy or self._is_writing_paused or not self._unparsed:
-            return
-        data = bytes(self._unparsed)
-        self._unparsed.clear()
-        if self._is_reading_paused:
+    def _request_turn(self) -> None:
+        """Ask for a turn, unless bytes have to wait for the answer to the request before them."""
+        if self._unparsed and not (self._is_closed or self.is_busy or self._is_writing_paused):
+            self._intake.turns.request(self, self._sizes.work, self._sizes.body_bytes)
+
+    def take_turn(self) -> int:
+        if self._is_closed or self.is_busy or self._is_writing_paused:
+            return 0
+        before = self._sizes.total_work
+        data = bytes(self._unparsed[: self._turn_bytes])
+        del self._unparsed[: len(data)]
+        if self._is_reading_paused and len(self._unparsed) <= MAX_UNPARSED_BYTES // 2:
             self._is_reading_paused = False
             self._transport.resume_reading()
         self._parse(data)
+        work = 1 + self._sizes.total_work - before
+        self._turn_bytes = choose_turn_bytes(len(data), work)
+        if self._held_bytes:
+            self._report_held()
+        self._request_turn()
+        return work
+
+    def fail(self, error: Exception) -> None:
+        context = {"message": "error while a request was read", "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+        self._transport.abort()
 
     def _parse(self, data: bytes) -> None:
-        """Feed the parser with pieces that end where a head or a request may end."""
+        """Feed the parser with pieces that end where a head or a request may end.
+
+        What follows a complete request is kept.
+        """
         limits = self._limits = self._service.get_limits()
         length = len(data)
         start = 0
@@ -166,8 +193,9 @@
             if self._is_closed:
                 return
             start = end
-            if start < length and (self.is_busy or self._is_writing_paused):
-                self._keep_unparsed(memoryview(data)[start:])
+            if start < length and self._read_start_ms is None:
+                # The next request is parsed in another turn.
+                self._unparsed[:0] = memoryview(data)[start:]
                 return
         if self._read_start_ms is not None:
             self._sizes.keep_tail(data)
@@ -200,6 +228,7 @@
             # replace those that the request was routed by.
             sizes.add_trailer(len(name) + len(value))
             return
+        sizes.add_field()
         self._headers.append((name, value))
         lowered = name.lower()
         if lowered == b"expect":
@@ -247,6 +276,7 @@
             bytes(self._body),
             self._clock.now_ms(),
         )
+        sizes.total_work += REQUEST_WORK
         self._in_progress_bytes = sizes.count_held(len(self._headers))
         self._report_held()
         if self._is_closed:
@@ -289,7 +319,7 @@
             self._close()
             return
         if self._unparsed:
-            asyncio.get_running_loop().call_soon(self._parse_rest)
+            asyncio.get_running_loop().call_soon(self._request_turn)
 
     def answer_and_close(self, answer: HttpAnswer) -> None:
         """Send the answer to the request in progress and close the connection."""
@@ -334,7 +364,8 @@
             phase, since_ms = Phase.IN_PROGRESS, self._idle_since_ms
             releasable = len(self._unparsed)
         elif self._read_start_ms is None:
-            phase, since_ms = Phase.IDLE, self._idle_since_ms
+            phase = Phase.READING if self._unparsed else Phase.IDLE
+            since_ms = self._idle_since_ms
         else:
             phase, since_ms = Phase.READING, self._read_start_ms
         return ConnectionState(self, phase, since_ms, releasable, self._has_completed)
@@ -345,7 +376,7 @@
         elif self.is_busy:
             self._intake.record(reason)
             self._stop_reading()
-        elif self._read_start_ms is not None:
+        elif self._read_start_ms is not None or self._unparsed:
             self._reject(503, reason)
         else:
             self._intake.record(reason)
@@ -377,8 +408,12 @@
         if not self._is_closed:
             self._is_closed = True
             self._closed_ms = self._clock.now_ms()
+            if self._is_reading_paused:
+                self._is_reading_paused = False
+                self._transport.resume_reading()
             self._transport.close()
             self._in_progress_bytes = 0
+            self._intake.turns.discard(self)
             self._unparsed.clear()
             self._clear()
             self._report_held()
--- a/citronpaddle/adapters/framing.py
+++ b/citronpaddle/adapters/framing.py
@@ -1,6 +1,7 @@
 """Sizes of the parts of a request that is being received, whatever packets it arrives in."""
 
 from ..policy.receiving import HEADER_COST_BYTES, MAX_FRAMING_PER_BODY_BYTE, LimitReason
+from ..policy.turns import FIELD_WORK
 
 # A head and a chunked body end with these bytes, which a parser that insists on CRLF accepts
 # nowhere else but inside the data of a chunk.
@@ -35,15 +36,19 @@
         "body_bytes",
         "body_left_bytes",
         "is_head_complete",
+        "total_work",
         "_chunk_start_bytes",
         "_head_bytes",
         "_is_after_size_line",
         "_tail",
         "_trailer_bytes",
         "_wire_bytes",
+        "_work_before",
     )
 
     def __init__(self) -> None:
+        # Work on all requests of the connection, in the units of `policy.turns`.
+        self.total_work = 0
         self.reset()
 
     def reset(self) -> None:
@@ -51,6 +56,7 @@
         self.body_bytes = 0
         self.body_left_bytes = 0
         self.is_head_complete = False
+        self._work_before = self.total_work
         self._head_bytes = 0
         # Bytes since the head, with chunk sizes, extensions and trailers.
         self._wire_bytes = 0
@@ -60,6 +66,11 @@
         self._chunk_start_bytes = 0
         self._tail = b""
 
+    @property
+    def work(self) -> int:
+        """Return the work on this request so far."""
+        return self.total_work - self._work_before
+
     def find_end(self, data: bytes, start: int, max_header_bytes: int) -> int:
         """Return the index at which the piece ends; `start` if the head exceeds its limit."""
         length = len(data)
@@ -84,6 +95,10 @@
         else:
             self._head_bytes += size_bytes
 
+    def add_field(self) -> None:
+        """Count a header field."""
+        self.total_work += FIELD_WORK
+
     def set_length(self, value: bytes) -> None:
         """Set the length of the body from its header; the parser refuses one that is malformed."""
         if value.isdigit() and len(value) <= _MAX_LENGTH_DIGITS:
@@ -95,11 +110,13 @@
 
     def begin_chunk(self) -> None:
         """Record the end of a size line."""
+        self.total_work += 1
         self._is_after_size_line = True
         self._chunk_start_bytes = self._wire_bytes
 
     def add_body(self, size_bytes: int) -> None:
-        """Count bytes of the body."""
+        """Count a piece of the body."""
+        self.total_work += 1
         self.body_bytes += size_bytes
         self._is_after_size_line = False
         if self.body_left_bytes:
@@ -107,6 +124,7 @@
 
     def add_trailer(self, size_bytes: int) -> None:
         """Count the name and value of a trailer field."""
+        self.total_work += 1
         self._trailer_bytes += size_bytes + _FIELD_SEPARATOR_BYTES
 
     @property
--- a/citronpaddle/adapters/intake.py
+++ b/citronpaddle/adapters/intake.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections import Counter
 from collections.abc import Callable
 
@@ -11,6 +11,7 @@
 from .addresses import Address
 from .counts import Counts
 from .eventlog import Event, EventLog
+from .turns import ParsingConnection, Turns
 
 # Pending connections of a listening socket.
 BACKLOG = 512
@@ -21,7 +22,7 @@
 REPORT_INTERVAL_MS = 1_000.0
 
 
-class LimitedConnection(ABC):
+class LimitedConnection(ParsingConnection):
     """A connection of a caller that can be given up."""
 
     @abstractmethod
@@ -37,11 +38,12 @@
 
 
 class Intake:
-    """The open connections of all listening sockets, and what they hold together."""
+    """The open connections of all listening sockets, what they hold, and their turns."""
 
     def __init__(
         self, limits: CallerBudgetLimits, clock: Clock, log: EventLog, counts: Counts
     ) -> None:
+        self.turns = Turns(clock)
         self._budget = CallerBudget(limits)
         self._clock = clock
         self._log = log
@@ -74,6 +76,7 @@
     def discard(self, connection: LimitedConnection) -> None:
         """Remove a closed connection."""
         self._open.discard(connection)
+        self.turns.discard(connection)
         self._budget.hold(connection, 0)
 
     def set_held_bytes(self, connection: LimitedConnection, size_bytes: int) -> None:
--- a/citronpaddle/policy/receiving.py
+++ b/citronpaddle/policy/receiving.py
@@ -43,6 +43,7 @@
     BODY_TIME = "body_time"
     HELD_BYTES = "held_bytes"
     CONNECTIONS = "connections"
+    WORK = "work"
 
 
 class Phase(IntEnum):
