--- a/tests/test_parsing_order.py
+++ b/tests/test_parsing_order.py
@@ -151,7 +151,7 @@
         connections = [world.connect() for _ in range(MAX_COSTLY_WAITING + 6)]
         for number, connection in enumerate(connections):
             # The first ones send first, so that they have cost most when the limit is exceeded.
-            connection.data_received(CROWDS["chunks"][: 6_000 if number < 6 else 3_000])
+            connection.data_received(CHUNKED + ONE_BYTE_CHUNK * (1_000 if number < 6 else 500))
             await asyncio.sleep(0)
         for connection in connections:
             connection.data_received(ONE_BYTE_CHUNK * 500)
