Refuse datagrams with more changes than a watcher sends

Cause: a datagram of 8 KB may decompress to 512 KB, in which changes of a few bytes were limited by that size alone: 20,000 of them in 4.3 KB take 20 ms to decode (trial), one datagram in each pass of the event loop. Found while looking for work without a limit beside that of callers.

Change: at most 1,024 changes; a watcher's batch has at most 500 by its size.

Result: the new test fails before and passes.

--- a/citronpaddle/adapters/hintchannel.py
+++ b/citronpaddle/adapters/hintchannel.py
@@ -19,6 +19,8 @@
 MAX_DATAGRAM_BYTES = 8_192
 # Changes that decompress to more than this are refused: a configuration has 262,144 bytes at most.
 MAX_DECOMPRESSED_BYTES = 524_288
+# More changes are refused: watchers send at most 500, and each costs processor time.
+MAX_CHANGES = 1_024
 # The fastest level: store entries compress nearly as well as with the highest one.
 _COMPRESSION_LEVEL = 1
 
@@ -96,7 +98,7 @@
             TBinaryProtocolAccelerated(
                 TMemoryBuffer(data),
                 string_length_limit=MAX_DECOMPRESSED_BYTES,
-                container_length_limit=MAX_DECOMPRESSED_BYTES,
+                container_length_limit=MAX_CHANGES,
             )
         )
         items = tuple(
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -242,3 +242,14 @@
     assert isinstance(decode(endless), str)
     assert tracemalloc.get_traced_memory()[1] < 100_000
     tracemalloc.stop()
+
+
+def test_datagram_with_more_changes_than_a_watcher_sends_is_refused():
+    """Guards against a datagram of some KB that takes tens of milliseconds to decode."""
+
+    def make_message(count):
+        changes = tuple(StoreItem("", b"", 7) for _ in range(count))
+        return PeerMessage("i0", 0.0, feed=FeedBatch(0, 7, 0.0, changes))
+
+    assert decode(encode(make_message(500))) == make_message(500)
+    assert isinstance(decode(encode(make_message(15_000))), str)
