Render metrics at most ten times a second

Cause: each request of /metrics renders them anew, some milliseconds, so that callers of the ready address could take all of the processor time. The turns count a request, not what its handler does. Found while looking for work without a limit beside that of callers.

Change: an answer may be 100 ms old.

Result: test_metrics_are_not_rendered_for_each_request would fail before: the method that it calls is new, and each request rendered.

--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -59,6 +59,9 @@
 # On a stop: the interval of the check for connections that have become idle, and the time for
 # writing the last answers.
 STOP_CHECK_MS = 50.0
+# Metrics are rendered again after this time at the earliest: that takes some milliseconds, and
+# anyone who reaches the address may ask for them.
+METRICS_MAX_AGE_MS = 100.0
 FINAL_WRITE_MS = 200.0
 
 
@@ -86,6 +89,8 @@
         self._servers: list[asyncio.Server] = []
         self._caller_server: asyncio.Server | None = None
         self.counts = Counts()
+        self._rendered_metrics = b""
+        self._rendered_ms = -METRICS_MAX_AGE_MS
         self.connections = Connections()
         limits = derive_limits(settings.memory_mb, settings.descriptors)
         self._intake = Intake(limits, clock, log, self.counts)
@@ -301,6 +306,14 @@
         )
         return self._codec.make_address_list(addresses, self._settings.address_ttl_s)
 
+    def read_metrics(self) -> bytes:
+        """Return all metrics in the Prometheus text format, at most `METRICS_MAX_AGE_MS` old."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._rendered_ms >= METRICS_MAX_AGE_MS:
+            self._rendered_metrics = self.render_metrics()
+            self._rendered_ms = now_ms
+        return self._rendered_metrics
+
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format, encoded."""
         now_ms = self._clock.now_ms()
@@ -460,7 +473,7 @@
 
     def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
         if request.target == METRICS_PATH:
-            connection.answer(HttpAnswer(200, METRICS_HEADERS, self._gateway.render_metrics()))
+            connection.answer(HttpAnswer(200, METRICS_HEADERS, self._gateway.read_metrics()))
             return
         if request.target.partition(b"?")[0] == PLACEMENT_PATH:
             connection.answer(self._gateway.explain_placement(request))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,7 +9,9 @@
 from gatewayworld import run_scenario
 
 from citronpaddle.adapters.callerconnections import CallerConnection
+from citronpaddle.clock import SystemClock
 from citronpaddle.forwarding import ExchangeRunner
+from citronpaddle.gateway import METRICS_MAX_AGE_MS
 
 
 async def end_idle(caller):
@@ -140,3 +142,19 @@
         assert b'callers_limited_total{kind="header_bytes"} 1.0' in setup.gateway.render_metrics()
 
     run_scenario(scenario)
+
+
+def test_metrics_are_not_rendered_for_each_request():
+    """Guards against callers of the ready address that keep the event loop busy with metrics."""
+
+    async def scenario(setup):
+        gateway = setup.gateway
+        rendered = []
+        gateway.render_metrics = lambda: rendered.append(b"") or b""
+        started_ms = SystemClock().now_ms()
+        for _ in range(50):
+            gateway.read_metrics()
+        took_ms = SystemClock().now_ms() - started_ms
+        assert len(rendered) <= 1 + took_ms / METRICS_MAX_AGE_MS
+
+    run_scenario(scenario)
