Let other tasks run between the frames of a peer

Cause: a task that reads frames does not give way to others while the next frame is complete in its buffer: up to 128 KB, some thousand frames, in one pass of the event loop. Found while looking for work without a limit beside that of callers.

Change: both sides of a connection between instances give way after 32 frames.

--- a/citronpaddle/adapters/frames.py
+++ b/citronpaddle/adapters/frames.py
@@ -11,6 +11,8 @@
 from thriftpy2.utils import deserialize, serialize
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+# Frames of one stream that are handled before other tasks run.
+FRAMES_PER_PASS = 32
 
 protocol = thriftpy2.load(
     str(Path(__file__).parent.parent / "protocol.thrift"), module_name="citronpaddle_thrift"
@@ -72,6 +74,24 @@
     return _LENGTH_PREFIX.pack(len(data)) + data
 
 
+class FrameReader:
+    """Reads the frames of one stream, and lets other tasks run after some of them.
+
+    Without that a stream that always has another complete frame would keep the event loop.
+    """
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        self._reader = reader
+        self._count = 0
+
+    async def read(self) -> Any:
+        """Return the next frame; the errors are those of `read_frame`."""
+        self._count += 1
+        if self._count % FRAMES_PER_PASS == 0:
+            await asyncio.sleep(0)
+        return await read_frame(self._reader)
+
+
 async def read_frame(reader: asyncio.StreamReader) -> Any:
     """Return the next frame.
 
--- a/citronpaddle/adapters/peers.py
+++ b/citronpaddle/adapters/peers.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..errors import ErrorKind, Failure
 from .addresses import parse_address
-from .frames import FrameError, FrameKind, encode_frame, protocol, read_frame
+from .frames import FrameError, FrameKind, FrameReader, encode_frame, protocol
 from .links import DirectLinks, Links
 
 PING_INTERVAL_MS = 500
@@ -58,7 +58,7 @@
     ) -> None:
         self._on_close = on_close
         self.address = address
-        self._reader = reader
+        self._frames = FrameReader(reader)
         self._writer = writer
         self._clock = clock
         self._links = links
@@ -127,7 +127,7 @@
     async def _receive(self) -> None:
         try:
             while True:
-                frame = await read_frame(self._reader)
+                frame = await self._frames.read()
                 if self._links.is_cut(self.address):
                     continue
                 self._last_received_ms = self._clock.now_ms()
@@ -351,9 +351,10 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         running: set[asyncio.Task[None]] = set()
+        frames = FrameReader(reader)
         try:
             while True:
-                frame = await read_frame(reader)
+                frame = await frames.read()
                 replier = _FrameReplier(writer, frame.id, frame.kind)
                 if frame.kind == FrameKind.PING:
                     replier.send(b"")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,8 +1,9 @@
 """Tests of the connections between instances: idle timeout, multiplexing and shutdown."""
 
 import asyncio
+from unittest.mock import Mock
 
-from citronpaddle.adapters.frames import FrameKind
+from citronpaddle.adapters.frames import FrameKind, encode_frame, protocol
 from citronpaddle.adapters.peers import FrameClient, PeerServer
 from citronpaddle.clock import VirtualClock
 from citronpaddle.errors import ErrorKind, Failure
@@ -103,3 +104,24 @@
     failures = [outcome.kind for outcome in outcomes if isinstance(outcome, Failure)]
     assert len(failures) == 5 * 32
     assert set(failures) == {ErrorKind.UPSTREAM_UNAVAILABLE}, failures
+
+
+def test_many_frames_of_one_peer_leave_time_for_other_tasks():
+    """Guards against a stream of complete frames that keeps the event loop until all are read."""
+
+    async def run():
+        reader = asyncio.StreamReader()
+        for number in range(2_000):
+            frame = protocol.Frame(id=number, kind=int(FrameKind.PING), body=b"")
+            reader.feed_data(encode_frame(frame))
+        reader.feed_eof()
+        writer = Mock()
+        writer.is_closing.return_value = False
+        serving = asyncio.ensure_future(PeerServer({})._serve(reader, writer))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert 0 < writer.write.call_count < 100
+        await serving
+        assert writer.write.call_count == 2_000
+
+    asyncio.run(run())
