Move the services of the sockets and the set of connections to modules

The set of connections no longer needs the class of its members. No change of behaviour; the tests of callers, the gateway and the order of parsing pass.

--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -18,6 +18,7 @@
 from .httpclient import set_keep_alive
 from .httpserver import HttpAnswer, HttpRequest, format_answer
 from .intake import Intake, LimitedConnection
+from .openconnections import Connections, OpenConnection
 from .roundtrips import read_round_trip_ms
 
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -52,7 +53,7 @@
         """Handle the disconnect of the caller whose request is in progress."""
 
 
-class CallerConnection(asyncio.BufferedProtocol, LimitedConnection):
+class CallerConnection(asyncio.BufferedProtocol, LimitedConnection, OpenConnection):
     """One connection of a caller; requests are read one after the other.
 
     Bytes are kept until it is the connection's turn to parse some of them, and while a request is
@@ -60,7 +61,7 @@
     """
 
     def __init__(
-        self, service: RequestHandler, clock: Clock, connections: "Connections", intake: Intake
+        self, service: RequestHandler, clock: Clock, connections: Connections, intake: Intake
     ) -> None:
         self._service = service
         self._clock = clock
@@ -417,47 +418,3 @@
             self._unparsed.clear()
             self._clear()
             self._report_held()
-
-
-class Connections:
-    """The open connections of callers; once `is_closing`, each answer closes its connection."""
-
-    def __init__(self) -> None:
-        self.is_closing = False
-        self._open: set[CallerConnection] = set()
-        self._connection_closed = asyncio.Event()
-
-    def __len__(self) -> int:
-        return len(self._open)
-
-    def add(self, connection: CallerConnection) -> None:
-        """Add a new connection."""
-        self._open.add(connection)
-
-    def discard(self, connection: CallerConnection) -> None:
-        """Remove a closed connection and wake `wait_for_close`."""
-        self._open.discard(connection)
-        self._connection_closed.set()
-
-    def count_busy(self) -> int:
-        """Return the number of requests in progress."""
-        return sum(1 for connection in self._open if connection.is_busy)
-
-    async def wait_for_close(self, timeout_ms: float) -> None:
-        """Return when a connection is closed, or after the timeout."""
-        self._connection_closed.clear()
-        try:
-            async with asyncio.timeout(timeout_ms / 1_000):
-                await self._connection_closed.wait()
-        except TimeoutError:
-            return
-
-    def close_overdue(self, now_ms: float) -> None:
-        """Close or abort the connections that are overdue at `now_ms`, a monotonic time."""
-        for connection in list(self._open):
-            connection.close_overdue(now_ms)
-
-    def close_idle(self) -> None:
-        """Close the connections on which no request is being read or in progress."""
-        for connection in list(self._open):
-            connection.close_if_idle()
--- a/citronpaddle/gateway.py
+++ b/citronpaddle/gateway.py
@@ -10,21 +10,23 @@
 from typing import Any
 
 from .adapters.addresses import Address, join_address
-from .adapters.callerconnections import CallerConnection, Connections, RequestHandler
+from .adapters.callerconnections import CallerConnection, RequestHandler
 from .adapters.connections import ConnectionPool, derive_receive_limits
 from .adapters.counts import Counts, render
 from .adapters.eventlog import Event, EventLog
 from .adapters.httpserver import HttpAnswer, HttpRequest
 from .adapters.intake import Intake, listen
+from .adapters.openconnections import Connections
 from .availability import StoreCallTimes
 from .callercodec import CallerCodec
+from .callerservices import DirectoryService, RequestService, StatusService
 from .calllog import CallLog
 from .clock import Clock
 from .fleet import StoreFollower
 from .forwarding import CallCodec, ExchangeRunner, Forwarder
 from .gatewaysettings import GatewaySettings
 from .peering import Peering
-from .placement import PLACEMENT_PATH, PlacementReporter
+from .placement import PlacementReporter
 from .policy.catalog import CallerLimits, ServiceLimits
 from .policy.exchange import ExchangeDependencies
 from .policy.extraload import ExtraLoad
@@ -54,8 +56,6 @@
 WATCH_INTERVAL_SHARE = 0.3
 # The same for an instance that relays the changes to others.
 WATCHER_INTERVAL_SHARE = 0.2
-METRICS_PATH = b"/metrics"
-METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
 # On a stop: the interval of the check for connections that have become idle, and the time for
 # writing the last answers.
 STOP_CHECK_MS = 50.0
@@ -418,65 +418,3 @@
 
     def _find_limits(self, service: str) -> ServiceLimits | None:
         return self.state.catalog.services.get(service) if self.state.catalog else None
-
-
-class _GatewayService(RequestHandler):
-    def __init__(self, gateway: Gateway, connections: Connections) -> None:
-        self._gateway = gateway
-        self.connections = connections
-
-    def get_limits(self) -> CallerLimits:
-        return self._gateway.caller_limits
-
-    def handle_disconnect(self, connection: CallerConnection) -> None:
-        """Do nothing: these requests are answered at once, so none is in progress."""
-
-
-class RequestService(_GatewayService):
-    """Serves callers' requests."""
-
-    def __init__(self, gateway: Gateway) -> None:
-        super().__init__(gateway, gateway.connections)
-
-    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        try:
-            runner = self._gateway.serve(request, connection)
-        except Exception as error:
-            # Without an answer the caller would wait until its deadline. The connection is closed,
-            # since calls that were started may still deliver an outcome to it.
-            self._gateway.log_error(error)
-            connection.answer_and_close(HttpAnswer(502, (), b"internal error"))
-            return
-        if connection.is_busy:
-            connection.exchange = runner
-
-    def handle_disconnect(self, connection: CallerConnection) -> None:
-        if connection.exchange is not None:
-            self._gateway.handle_caller_left(connection.exchange)
-
-
-class DirectoryService(_GatewayService):
-    """Serves callers that request the addresses of instances."""
-
-    def __init__(self, gateway: Gateway) -> None:
-        super().__init__(gateway, Connections())
-
-    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        connection.answer(self._gateway.resolve(request))
-
-
-class StatusService(_GatewayService):
-    """Serves the platform's readiness check, the metrics and the placement of a request."""
-
-    def __init__(self, gateway: Gateway) -> None:
-        super().__init__(gateway, Connections())
-
-    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        if request.target == METRICS_PATH:
-            connection.answer(HttpAnswer(200, METRICS_HEADERS, self._gateway.read_metrics()))
-            return
-        if request.target.partition(b"?")[0] == PLACEMENT_PATH:
-            connection.answer(self._gateway.explain_placement(request))
-            return
-        status = 200 if self._gateway.is_ready else 503
-        connection.answer(HttpAnswer(status, (), b"ready\n" if status == 200 else b"not ready\n"))
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -5,10 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from citronpaddle.adapters.callerconnections import CallerConnection, Connections, RequestHandler
+from citronpaddle.adapters.callerconnections import CallerConnection, RequestHandler
 from citronpaddle.adapters.counts import Counts
 from citronpaddle.adapters.httpserver import HttpAnswer
 from citronpaddle.adapters.intake import Intake
+from citronpaddle.adapters.openconnections import Connections
 from citronpaddle.clock import VirtualClock
 from citronpaddle.policy.catalog import CallerLimits
 from citronpaddle.policy.receiving import CallerBudgetLimits
--- a/tests/test_parsing_order.py
+++ b/tests/test_parsing_order.py
@@ -9,10 +9,11 @@
 import pytest
 from test_cuts import Transport
 
-from citronpaddle.adapters.callerconnections import CallerConnection, Connections, RequestHandler
+from citronpaddle.adapters.callerconnections import CallerConnection, RequestHandler
 from citronpaddle.adapters.counts import Counts
 from citronpaddle.adapters.httpserver import HttpAnswer
 from citronpaddle.adapters.intake import Intake
+from citronpaddle.adapters.openconnections import Connections
 from citronpaddle.clock import SystemClock
 from citronpaddle.policy.catalog import CallerLimits
 from citronpaddle.policy.receiving import CallerBudgetLimits
--- a/tests/test_unread_answers.py
+++ b/tests/test_unread_answers.py
@@ -3,11 +3,12 @@
 import os
 from unittest.mock import Mock
 
-from citronpaddle.adapters.callerconnections import CallerConnection, Connections
+from citronpaddle.adapters.callerconnections import CallerConnection
 from citronpaddle.adapters.counts import Counts
 from citronpaddle.adapters.eventlog import EventLog
 from citronpaddle.adapters.httpserver import HttpAnswer
 from citronpaddle.adapters.intake import Intake
+from citronpaddle.adapters.openconnections import Connections
 from citronpaddle.clock import SystemClock
 from citronpaddle.policy.catalog import CallerLimits
 from citronpaddle.policy.receiving import CallerBudgetLimits
