--- a/citronpaddle/adapters/framing.py
+++ b/citronpaddle/adapters/framing.py
@@ -1,6 +1,7 @@
 """Sizes of the parts of a request that is being received, whatever packets it arrives in."""
 
-from ..policy.receiving import HEADER_COST_BYTES, MAX_FRAMING_PER_BODY_BYTE, LimitReason
+from ..policy.buffers import FIELD_COST_BYTES
+from ..policy.receiving import MAX_FRAMING_PER_BODY_BYTE, LimitReason
 from ..policy.turns import FIELD_WORK
 
 # A head and a chunked body end with these bytes, which a parser that insists on CRLF accepts
@@ -155,7 +156,7 @@
         body_bytes = self.body_bytes + (self.body_bytes >> 3)
         return (
             self._head_bytes
-            + header_count * HEADER_COST_BYTES
+            + header_count * FIELD_COST_BYTES
             + body_bytes
             + self._unfinished_trailer_bytes
         )
--- a/citronpaddle/adapters/httpclient.py
+++ b/citronpaddle/adapters/httpclient.py
@@ -13,8 +13,8 @@
 import httptools
 
 from ..clock import Clock
-from ..policy.buffers import ReceiveBudget
-from ..policy.responsesizes import FIELD_COST_BYTES, ResponseSizes, ResponseTooLargeError
+from ..policy.buffers import FIELD_COST_BYTES, ReceiveBudget
+from ..policy.responsesizes import ResponseSizes, ResponseTooLargeError
 from .statusline import StatusLineCheck, is_http_1
 
 # Time after which an unresponsive connection is closed: by keep-alive probes if it is idle, by
--- a/citronpaddle/policy/buffers.py
+++ b/citronpaddle/policy/buffers.py
@@ -3,6 +3,9 @@
 from collections.abc import Hashable
 from typing import NamedTuple
 
+# Memory of a header or trailer field in addition to its bytes: a tuple and two bytes objects.
+FIELD_COST_BYTES = 160
+
 
 class ReceiveLimits(NamedTuple):
     """Limits in bytes of one response, and of all incomplete responses together."""
--- a/citronpaddle/policy/receiving.py
+++ b/citronpaddle/policy/receiving.py
@@ -21,8 +21,6 @@
 SHEDDING_TARGET_SHARE = 0.875
 # Bytes that each connection may hold without being counted; its own objects need as much.
 UNCOUNTED_BYTES = 4_096
-# Memory of a header in addition to its bytes: a tuple and two bytes objects.
-HEADER_COST_BYTES = 160
 # A body must arrive within this time, plus one ms for each `MIN_BODY_BYTES_PER_MS` received.
 BODY_GRACE_MS = 30_000.0
 MIN_BODY_BYTES_PER_MS = 1.0
--- a/citronpaddle/policy/responsesizes.py
+++ b/citronpaddle/policy/responsesizes.py
@@ -16,8 +16,6 @@
 # Chunk sizes, extensions and trailers that are allowed, for a body and for each byte of it.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_PER_BODY_BYTE = 16
-# Memory of a field in addition to its bytes: a tuple and two bytes objects.
-FIELD_COST_BYTES = 160
 # What is parsed at a time, so that limits are checked before the rest of a packet is.
 SLICE_BYTES = 16 * 1024
 
