--- a/citronpaddle/adapters/callerconnections.py
+++ b/citronpaddle/adapters/callerconnections.py
@@ -32,9 +32,6 @@
 _RETRY_AFTER = ((b"Retry-After", b"1"),)
 # Bytes that a connection keeps until they are parsed; above that, reading pauses.
 MAX_UNPARSED_BYTES = 16_384
-# All connections receive into the same buffer and copy from it at once. Its size is the most that
-# one of them reads in a pass of the event loop.
-_RECEIVE_BUFFER = memoryview(bytearray(MAX_UNPARSED_BYTES))
 
 
 class RequestHandler(ABC):
@@ -129,10 +126,10 @@
         self._request_turn()
 
     def get_buffer(self, size_hint: int) -> memoryview:
-        return _RECEIVE_BUFFER
+        return self._intake.receive_buffer
 
     def buffer_updated(self, size_bytes: int) -> None:
-        self.data_received(bytes(_RECEIVE_BUFFER[:size_bytes]))
+        self.data_received(bytes(self._intake.receive_buffer[:size_bytes]))
 
     def data_received(self, data: bytes) -> None:
         """Keep `data`, and parse it when it is this connection's turn."""
--- a/citronpaddle/adapters/intake.py
+++ b/citronpaddle/adapters/intake.py
@@ -18,6 +18,8 @@
 # Connections that are accepted at a time. asyncio accepts further ones before it reports these, so
 # a large batch would exceed the limit on connections before the first one can be closed.
 ACCEPT_BATCH = 16
+# The most that a connection reads in a pass of the event loop.
+RECEIVE_BYTES = 16_384
 # Minimum interval of the log lines.
 REPORT_INTERVAL_MS = 1_000.0
 
@@ -29,13 +31,6 @@
     def describe(self) -> ConnectionState:
         """Return the state of the connection; its key is the connection itself."""
 
-    @abstractmethod
-    def give_up(self, reason: LimitReason) -> None:
-        """Release what is held for a request that is not complete, and close the connection.
-
-        A request in progress is still answered. A connection that is closing already is aborted.
-        """
-
 
 class Intake:
     """The open connections of all listening sockets, what they hold, and their turns."""
@@ -44,6 +39,8 @@
         self, limits: CallerBudgetLimits, clock: Clock, log: EventLog, counts: Counts
     ) -> None:
         self.turns = Turns(clock)
+        # All connections receive into the same buffer and copy from it at once.
+        self.receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
         self._budget = CallerBudget(limits)
         self._clock = clock
         self._log = log
--- a/citronpaddle/adapters/turns.py
+++ b/citronpaddle/adapters/turns.py
@@ -24,7 +24,10 @@
 
     @abstractmethod
     def give_up(self, reason: LimitReason) -> None:
-        """Refuse the request that is being read, and close the connection."""
+        """Release what is held for a request that is not complete, and close the connection.
+
+        A request in progress is still answered. A connection that is closing already is aborted.
+        """
 
 
 class Turns:
