--- a/citronpaddle/policy/turns.py
+++ b/citronpaddle/policy/turns.py
@@ -10,9 +10,10 @@
 
 # Work of all connections in one pass of the event loop, some milliseconds.
 PASS_WORK = 1_000
-# A request is costly above this work, plus one unit for each `MIN_PIECE_BYTES` of its body.
+# A request is costly above this work, plus one unit for so many bytes of its body. A chunk has two
+# units, so that bodies in chunks of 128 bytes or more are not costly.
 COSTLY_WORK = 256
-MIN_PIECE_BYTES = 128
+BODY_BYTES_PER_UNIT = 64
 # Costly requests that may wait at a time; above that, the one that has cost most is given up.
 MAX_COSTLY_WAITING = 64
 # Bytes that a connection parses in a turn. Chunks and fields have at least five bytes each, so that
@@ -29,7 +30,7 @@
 
 def is_costly(work: int, body_bytes: int) -> bool:
     """Return whether a request with this work and size so far is costly."""
-    return work > COSTLY_WORK + body_bytes // MIN_PIECE_BYTES
+    return work > COSTLY_WORK + body_bytes // BODY_BYTES_PER_UNIT
 
 
 def choose_turn_bytes(last_bytes: int, last_work: int) -> int:
