Let costly requests wait instead of refusing some of them

What callers saw: beside 600 clients with one-byte chunks, 56 ordinary requests answered in 15 s, where 144 are in calm.

Cause: of more than 64 waiting costly requests the costliest was refused. Its caller came back at once, and accepting connections, which has no turn, cost more than letting it wait.

Change: no limit on waiting costly requests. What they hold stays limited by the budgets of memory and connections, and their time by `is_body_overdue`.

--- a/citronpaddle/adapters/intake.py
+++ b/citronpaddle/adapters/intake.py
@@ -31,6 +31,13 @@
     def describe(self) -> ConnectionState:
         """Return the state of the connection; its key is the connection itself."""
 
+    @abstractmethod
+    def give_up(self, reason: LimitReason) -> None:
+        """Release what is held for a request that is not complete, and close the connection.
+
+        A request in progress is still answered. A connection that is closing already is aborted.
+        """
+
 
 class Intake:
     """The open connections of all listening sockets, what they hold, and their turns."""
--- a/citronpaddle/adapters/turns.py
+++ b/citronpaddle/adapters/turns.py
@@ -4,7 +4,6 @@
 from abc import ABC, abstractmethod
 
 from ..clock import Clock
-from ..policy.receiving import LimitReason
 from ..policy.turns import TurnQueue
 
 # After this time without a turn another pass has begun, whose work is counted anew.
@@ -22,13 +21,6 @@
     def fail(self, error: Exception) -> None:
         """Close the connection after an unexpected error in a turn."""
 
-    @abstractmethod
-    def give_up(self, reason: LimitReason) -> None:
-        """Release what is held for a request that is not complete, and close the connection.
-
-        A request in progress is still answered. A connection that is closing already is aborted.
-        """
-
 
 class Turns:
     """The turns of all connections of one process.
@@ -46,10 +38,6 @@
     def request(self, connection: ParsingConnection, work: int, body_bytes: int) -> None:
         """Let a connection, whose request has cost `work` so far, take its turn now or later."""
         self._queue.add(connection, work, body_bytes)
-        excess = self._queue.find_excess()
-        if excess is not None:
-            self._queue.discard(excess)
-            excess.give_up(LimitReason.WORK)
         if self._is_running or self._next_pass is not None:
             return
         now_ms = self._clock.now_ms()
--- a/citronpaddle/policy/receiving.py
+++ b/citronpaddle/policy/receiving.py
@@ -41,7 +41,6 @@
     BODY_TIME = "body_time"
     HELD_BYTES = "held_bytes"
     CONNECTIONS = "connections"
-    WORK = "work"
 
 
 class Phase(IntEnum):
--- a/citronpaddle/policy/turns.py
+++ b/citronpaddle/policy/turns.py
@@ -14,8 +14,6 @@
 # units, so that bodies in chunks of 128 bytes or more are not costly.
 COSTLY_WORK = 256
 BODY_BYTES_PER_UNIT = 64
-# Costly requests that may wait at a time; above that, the one that has cost most is given up.
-MAX_COSTLY_WAITING = 64
 # Bytes that a connection parses in a turn. Chunks and fields have at least five bytes each, so that
 # a first turn costs little whatever it has.
 MIN_TURN_BYTES = 256
@@ -50,27 +48,25 @@
     def __init__(self) -> None:
         self._light: deque[Hashable] = deque()
         self._costly: deque[Hashable] = deque()
-        # The connections that wait, with the work on their requests.
-        self._work: dict[Hashable, int] = {}
+        self._waiting: set[Hashable] = set()
         self._pass_work = 0
         self._is_costly_due = True
 
     def __len__(self) -> int:
-        return len(self._work)
+        return len(self._waiting)
 
     def add(self, key: Hashable, work: int, body_bytes: int) -> None:
         """Add a connection, whose request has cost `work` so far, unless it waits already."""
-        if key in self._work:
+        if key in self._waiting:
             return
-        self._work[key] = work
+        self._waiting.add(key)
         (self._costly if is_costly(work, body_bytes) else self._light).append(key)
 
     def discard(self, key: Hashable) -> None:
         """Remove a connection if it waits."""
-        if self._work.pop(key, None) is not None:
-            for queue in (self._light, self._costly):
-                if key in queue:
-                    queue.remove(key)
+        if key in self._waiting:
+            self._waiting.remove(key)
+            (self._light if key in self._light else self._costly).remove(key)
 
     def start_pass(self) -> None:
         """Begin the next pass of the event loop."""
@@ -92,11 +88,5 @@
         if not queue:
             return None
         key = queue.popleft()
-        del self._work[key]
+        self._waiting.remove(key)
         return key
-
-    def find_excess(self) -> Hashable | None:
-        """Return the costliest connection if too many costly ones wait, or None."""
-        if len(self._costly) <= MAX_COSTLY_WAITING:
-            return None
-        return max(self._costly, key=self._work.__getitem__)
