--- a/citronpaddle/adapters/turns.py
+++ b/citronpaddle/adapters/turns.py
@@ -6,7 +6,7 @@
 from ..clock import Clock
 from ..policy.turns import TurnQueue
 
-# After this time without a turn another pass has begun, whose work is counted anew.
+# The work of turns that are taken at once is counted anew after this time.
 PASS_MS = 5.0
 
 
@@ -36,7 +36,7 @@
         self._next_pass: asyncio.Handle | None = None
 
     def request(self, connection: ParsingConnection, work: int, body_bytes: int) -> None:
-        """Let a connection, whose request has cost `work` so far, take its turn now or later."""
+        """Run or schedule the turn of a connection whose request has cost `work` so far."""
         self._queue.add(connection, work, body_bytes)
         if self._is_running or self._next_pass is not None:
             return
